--- /dev/null
+++ b/entry/client.c
@@ -0,0 +1,266 @@
+/**
+ * @file
+ * HTTP/1.1 client connections.
+ */
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry/client.h"
+#include "entry/socket.h"
+
+/** Bytes read at once. */
+#define READ_SIZE 65536
+/** Bounds of an answer, bytes. */
+#define HEADER_MOST 65536
+#define BODY_MOST (64u << 20)
+
+struct client {
+	int fd; /* -1 if it could not be opened */
+	const struct client_ops *ops;
+	void *data;
+	struct event *read;
+	struct event *write;
+	struct message_parser parser;
+	GString *out;
+	size_t written;
+	bool connected;
+	bool waiting; /* a request has no answer yet */
+	bool spent; /* no further request may be sent */
+	bool no_body;
+	wv_msec idle_limit;
+};
+
+static void
+end(struct client *client, enum client_end reason)
+{
+	event_del(client->read);
+	event_del(client->write);
+	client->spent = true;
+	client->ops->ended(client->data, client, reason);
+}
+
+static void
+write_some(struct client *client)
+{
+	size_t left = client->out->len - client->written;
+	ssize_t n;
+
+	if (left == 0)
+		return;
+	n = send(client->fd, client->out->str + client->written, left,
+	    MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (n < 0 && errno != EAGAIN && errno != EINTR) {
+		/* An early answer may be waiting to be read. */
+		client->spent = true;
+		return;
+	}
+	client->written += n > 0 ? (size_t)n : 0;
+	if (client->written < client->out->len)
+		event_add(client->write, NULL);
+}
+
+static void
+on_write(evutil_socket_t fd, short what, void *data)
+{
+	struct client *client = data;
+	socklen_t size = sizeof(int);
+	int error = 0;
+
+	if (!client->connected) {
+		if (fd < 0 ||
+		    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+		    error != 0) {
+			end(client, CLIENT_REFUSED);
+			return;
+		}
+		client->connected = true;
+		event_add(client->read, NULL);
+	}
+	write_some(client);
+}
+
+/* Reads "timeout=SECONDS" of a Keep-Alive field. */
+static wv_msec
+keep_alive_limit(const struct message *answer)
+{
+	struct wv_string value;
+	const char *at;
+
+	if (message_find(answer, "keep-alive", &value) == 0)
+		return 0;
+	at = g_strstr_len(value.data, (gssize)value.length, "timeout=");
+	return at == NULL ? 0 : 1000.0 * (double)strtoul(at + 8, NULL, 10);
+}
+
+static bool
+is_interim(const struct message *answer)
+{
+	return answer->status < 200;
+}
+
+/* Goes on waiting for the answer to the request in progress. */
+static bool
+wait_on(struct client *client)
+{
+	client->waiting = true;
+	message_parser_next(&client->parser, client->no_body);
+	return true;
+}
+
+/* Returns whether the request in progress still waits for its answer. */
+static bool
+take_answer(struct client *client, bool more_bytes)
+{
+	struct message *answer = message_parser_take(&client->parser);
+	bool spent = client->spent;
+
+	if (is_interim(answer)) {
+		message_destroy(answer);
+		return wait_on(client);
+	}
+	client->waiting = false;
+	client->idle_limit = keep_alive_limit(answer);
+	if (!answer->keep_alive || answer->until_close || more_bytes ||
+	    client->written < client->out->len)
+		client->spent = true;
+	if (client->ops->answered(client->data, client, answer))
+		return false;
+	client->spent = spent;
+	return wait_on(client);
+}
+
+/* Returns whether the connection goes on and more bytes may be read. */
+static bool
+feed(struct client *client, const char *data, size_t length, size_t *used)
+{
+	enum parse_state state;
+
+	if (!client->waiting) {
+		end(client, CLIENT_GARBLED);
+		return false;
+	}
+	state = message_parser_feed(&client->parser, data, length, used);
+	if (state == PARSE_FAULT) {
+		end(client, CLIENT_GARBLED);
+		return false;
+	}
+	if (state == PARSE_MORE)
+		return false;
+	return take_answer(client, *used < length);
+}
+
+static void
+on_eof(struct client *client, bool reset)
+{
+	bool ends_answer = !reset && client->waiting &&
+	    message_parser_end(&client->parser) == PARSE_COMPLETE;
+
+	/* It never answers the request in progress if it is turned down. */
+	if (!ends_answer || take_answer(client, false))
+		end(client, client->connected ? CLIENT_CLOSED : CLIENT_REFUSED);
+}
+
+static void
+on_read(evutil_socket_t fd, short what, void *data)
+{
+	static _Thread_local char buffer[READ_SIZE];
+	struct client *client = data;
+	ssize_t n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+	size_t at = 0;
+	size_t used = 0;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		on_eof(client, n < 0);
+		return;
+	}
+	while (
+	    at < (size_t)n && feed(client, buffer + at, (size_t)n - at, &used))
+		at += used;
+}
+
+struct client *
+client_create(struct event_base *base, const char *address,
+    const struct client_ops *ops, void *data)
+{
+	struct client *client = g_new0(struct client, 1);
+
+	client->fd = socket_connect(address);
+	client->ops = ops;
+	client->data = data;
+	client->out = g_string_new(NULL);
+	client->read =
+	    event_new(base, client->fd, EV_READ | EV_PERSIST, on_read, client);
+	client->write = event_new(base, client->fd, EV_WRITE, on_write, client);
+	message_parser_init(
+	    &client->parser, HTTP_RESPONSE, HEADER_MOST, BODY_MOST);
+	if (client->fd < 0)
+		event_active(client->write, EV_WRITE, 0);
+	else
+		event_add(client->write, NULL);
+	return client;
+}
+
+void
+client_destroy(struct client *client)
+{
+	event_free(client->read);
+	event_free(client->write);
+	if (client->fd >= 0)
+		close(client->fd);
+	message_parser_clear(&client->parser);
+	g_string_free(client->out, TRUE);
+	g_free(client);
+}
+
+void
+client_set_data(struct client *client, void *data)
+{
+	client->data = data;
+}
+
+void *
+client_data(const struct client *client)
+{
+	return client->data;
+}
+
+void
+client_send(struct client *client, struct wv_string request, bool no_body)
+{
+	g_string_truncate(client->out, 0);
+	g_string_append_len(client->out, request.data, (gssize)request.length);
+	client->written = 0;
+	client->waiting = true;
+	client->no_body = no_body;
+	message_parser_next(&client->parser, no_body);
+	if (client->connected)
+		write_some(client);
+}
+
+bool
+client_untouched(const struct client *client)
+{
+	return client->written == 0;
+}
+
+bool
+client_connected(const struct client *client)
+{
+	return client->connected;
+}
+
+bool
+client_reusable(const struct client *client)
+{
+	return client->connected && !client->spent && !client->waiting;
+}
+
+wv_msec
+client_idle_limit(const struct client *client)
+{
+	return client->idle_limit;
+}
--- /dev/null
+++ b/entry/gateway.c
@@ -0,0 +1,543 @@
+/**
+ * @file
+ * Callers' requests: from the connection to the dispatch and back.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "entry/socket.h"
+#include "entry/upstream.h"
+#include "wisteriavane/gather.h"
+
+/** Time that a caller is assumed to wait if it does not say, ms. */
+#define LIMIT_UNSTATED 60000
+/** When to come back while this VM knows no routes yet, ms. */
+#define RETRY_AFTER_START 300.0
+/** Longest text of an identifier or reason in a log line. */
+#define LOG_TEXT 96
+
+struct gateway {
+	struct wv_dispatch_ops ops; /* first, so that it can be found */
+	struct wv_fleet_ops fleet_ops;
+	struct entry *entry;
+	struct server *server;
+	struct event *timer;
+};
+
+/* A caller's request while it is dispatched. */
+struct call {
+	struct gateway *gateway;
+	struct server_conn *conn;
+	struct wv_task *task; /* NULL while it is being submitted */
+	struct upstream_request request;
+	char *id; /* owned: the caller's identifier */
+};
+
+static struct gateway *
+gateway_of(struct wv_dispatch_ops *ops)
+{
+	return (struct gateway *)ops;
+}
+
+static void
+call_destroy(struct call *call)
+{
+	g_string_free(call->request.head, TRUE);
+	g_free(call->id);
+	g_free(call);
+}
+
+/* Whether the product itself sets a field on requests to searchers. */
+static bool
+is_own_field(const struct dialect *dialect, struct wv_string name)
+{
+	return message_name_is(name, dialect->deadline) ||
+	    message_name_is(name, dialect->expected_searcher);
+}
+
+/* The request as searchers get it, except for the fields of an attempt. */
+static GString *
+compose_head(const struct dialect *dialect, const struct message *message)
+{
+	const char *method = http_method_str((enum http_method)message->method);
+	GString *head = g_string_sized_new(message->text->len + 128);
+	struct wv_string target = message_target(message);
+
+	g_string_append(head, method);
+	g_string_append_c(head, ' ');
+	g_string_append_len(head, target.data, (gssize)target.length);
+	g_string_append_len(head, " HTTP/1.1\r\n", 11);
+	for (guint i = 0; i < message->fields->len; i++) {
+		if (!message_is_hop_field(message, i) &&
+		    !is_own_field(dialect, message_name(message, i)))
+			message_append_field(head, message_name(message, i),
+			    message_value(message, i));
+	}
+	if (message->body->len > 0 || message->method == HTTP_POST ||
+	    message->method == HTTP_PUT)
+		g_string_append_printf(head, "Content-Length: %zu\r\n",
+		    (size_t)message->body->len);
+	return head;
+}
+
+static struct wv_string
+path_of(struct wv_string target)
+{
+	const char *query = memchr(target.data, '?', target.length);
+
+	if (query != NULL)
+		target.length = (size_t)(query - target.data);
+	return target;
+}
+
+static void
+log_local(struct entry *entry, const struct message *message, unsigned status,
+    const char *reason)
+{
+	struct wv_string id = {"", 0};
+	char text[LOG_TEXT];
+
+	message_find(message, entry->dialect->request_id, &id);
+	log_line(entry->log, LOG_FAILURE, "request_refused",
+	    "\"id\":\"%s\",\"status\":%u,\"reason\":\"%s\","
+	    "\"routes_version\":%" G_GUINT64_FORMAT,
+	    log_escape(id, text, sizeof(text)), status, reason,
+	    entry->routes == NULL ? 0 : entry->routes->version);
+}
+
+static void
+answer_refusal(struct server_conn *conn, wv_msec retry_after)
+{
+	GString *fields = g_string_new(NULL);
+
+	g_string_append_printf(fields,
+	    "Content-Type: text/plain\r\nRetry-After: %.2f\r\n",
+	    retry_after / 1000);
+	server_answer(conn, 503, fields, wv_string_borrow("not run\n"));
+	g_string_free(fields, TRUE);
+}
+
+static void
+refuse_unready(struct entry *entry, struct server_conn *conn,
+    const struct message *message)
+{
+	log_local(entry, message, 503, "not_ready");
+	wv_counter_add(&entry->metrics.refused_not_run, 1);
+	answer_refusal(conn, RETRY_AFTER_START);
+}
+
+static void
+dispatch_call(struct entry *entry, struct server_conn *conn,
+    const struct message *message, const struct wv_route *route, uint64_t limit)
+{
+	struct call *call = g_new0(struct call, 1);
+	struct wv_string id = {"", 0};
+	struct wv_task *task;
+
+	message_find(message, entry->dialect->request_id, &id);
+	call->id = g_strndup(id.data, id.length);
+	call->gateway = entry->gateway;
+	call->conn = conn;
+	call->request.head = compose_head(entry->dialect, message);
+	call->request.body = message->body;
+	call->request.is_head = message->method == HTTP_HEAD;
+	call->request.id = wv_string_borrow(call->id);
+	server_conn_set_context(conn, call);
+	wv_counter_add(&entry->metrics.requests, 1);
+	task = wv_dispatch_submit(entry->dispatch, entry_now(entry),
+	    entry->routes, route, (wv_msec)limit, call);
+	/* Without task the call has been answered and is gone. */
+	if (task != NULL)
+		call->task = task;
+	entry_arm(entry);
+}
+
+/* Reads how long the caller waits; returns false if it can't be read. */
+static bool
+read_limit(
+    const struct entry *entry, const struct message *message, uint64_t *limit)
+{
+	struct wv_string text;
+	unsigned n = message_find(message, entry->dialect->deadline, &text);
+
+	*limit = LIMIT_UNSTATED;
+	return n == 0 || (n == 1 && message_parse_number(text, limit));
+}
+
+static bool
+is_plain_target(struct wv_string target)
+{
+	return target.length > 0 && target.data[0] == '/';
+}
+
+static void
+on_request(void *data, struct server_conn *conn, const struct message *message)
+{
+	struct entry *entry = ((struct gateway *)data)->entry;
+	const struct wv_route *route;
+	struct wv_string host;
+	uint64_t limit;
+
+	if (message_find(message, "host", &host) != 1 ||
+	    !is_plain_target(message_target(message)) ||
+	    message_find(message, entry->dialect->request_id, NULL) > 1 ||
+	    !read_limit(entry, message, &limit)) {
+		log_local(entry, message, 400, "malformed");
+		wv_counter_add(&entry->metrics.malformed, 1);
+		server_answer_text(conn, 400, "malformed request\n");
+		return;
+	}
+	if (!entry_is_ready(entry)) {
+		refuse_unready(entry, conn, message);
+		return;
+	}
+	route = wv_routes_find(
+	    entry->routes, host, path_of(message_target(message)));
+	if (route == NULL) {
+		log_local(entry, message, 404, "no_route");
+		wv_counter_add(&entry->metrics.no_route, 1);
+		server_answer_text(conn, 404, "no route\n");
+		return;
+	}
+	dispatch_call(entry, conn, message, route, limit);
+}
+
+static void
+on_left(void *data, struct server_conn *conn)
+{
+	struct entry *entry = ((struct gateway *)data)->entry;
+	struct call *call = server_conn_context(conn);
+	char text[LOG_TEXT];
+
+	log_line(entry->log, LOG_FAILURE, "caller_left",
+	    "\"id\":\"%s\",\"elapsed_ms\":%.1f",
+	    log_escape(call->request.id, text, sizeof(text)),
+	    entry_now(entry) - call->task->arrived);
+	wv_counter_add(&entry->metrics.callers_left, 1);
+	wv_dispatch_leave(entry->dispatch, call->task);
+	call_destroy(call);
+	entry_arm(entry);
+}
+
+static void
+on_refused(void *data, unsigned status)
+{
+	struct entry *entry = ((struct gateway *)data)->entry;
+
+	wv_counter_add(&entry->metrics.malformed, 1);
+	log_line(entry->log, LOG_FAILURE, "request_malformed", "\"status\":%u",
+	    status);
+}
+
+static const struct server_ops server_ops = {on_request, on_left, on_refused};
+
+static void
+send_attempt(struct wv_dispatch_ops *ops, struct wv_attempt *attempt)
+{
+	struct call *call = attempt->task->caller;
+
+	upstream_send(gateway_of(ops)->entry, attempt, &call->request);
+}
+
+static void
+cancel_attempt(struct wv_dispatch_ops *ops, struct wv_attempt *attempt)
+{
+	upstream_cancel(attempt);
+}
+
+static void
+drop_message(struct wv_dispatch_ops *ops, void *message)
+{
+	message_destroy(message);
+}
+
+static struct wv_counter *
+counter_of(struct metrics *metrics, enum wv_attempt_end end)
+{
+	switch (end) {
+	case WV_END_REJECTED:
+		return &metrics->attempts_rejected;
+	case WV_END_WRONG_SEARCHER:
+		return &metrics->attempts_wrong_searcher;
+	case WV_END_NOT_SENT:
+		return &metrics->attempts_not_sent;
+	case WV_END_BROKEN:
+		return &metrics->attempts_broken;
+	case WV_END_ANSWERED:
+	case WV_END_FAILED:
+		break;
+	}
+	return &metrics->attempts_failed;
+}
+
+static void
+attempt_failed(struct wv_dispatch_ops *ops, const struct wv_attempt *attempt,
+    enum wv_attempt_end end, wv_msec elapsed)
+{
+	struct entry *entry = gateway_of(ops)->entry;
+	struct call *call =
+	    attempt->task != NULL ? attempt->task->caller : NULL;
+	struct wv_string id = {"", 0};
+	char text[LOG_TEXT];
+
+	if (call != NULL)
+		id = call->request.id;
+	wv_counter_add(counter_of(&entry->metrics, end), 1);
+	log_line(entry->log, LOG_FAILURE, "attempt_failed",
+	    "\"id\":\"%s\",\"service\":\"%s\",\"searcher\":\"%s\","
+	    "\"end\":\"%s\",\"elapsed_ms\":%.1f,\"extra\":%s,\"lost\":%s",
+	    log_escape(id, text, sizeof(text)),
+	    attempt->searcher->service->name.data, attempt->searcher->id.data,
+	    wv_attempt_end_name(end), elapsed,
+	    attempt->extra ? "true" : "false",
+	    attempt->searcher->view.lost ? "true" : "false");
+}
+
+static void
+append_answer_fields(GString *fields, const struct message *answer)
+{
+	for (guint i = 0; i < answer->fields->len; i++) {
+		if (!message_is_hop_field(answer, i))
+			message_append_field(fields, message_name(answer, i),
+			    message_value(answer, i));
+	}
+}
+
+static unsigned
+answer_relay(struct server_conn *conn, struct message *answer)
+{
+	struct wv_string body = {answer->body->str, answer->body->len};
+	GString *fields = g_string_sized_new(256);
+	unsigned status = answer->status;
+
+	append_answer_fields(fields, answer);
+	server_answer(conn, status, fields, body);
+	g_string_free(fields, TRUE);
+	message_destroy(answer);
+	return status;
+}
+
+static void
+append_signatures(
+    GString *fields, const struct dialect *dialect, const struct wv_task *task)
+{
+	const char *separator = "";
+
+	g_string_append_printf(fields, "%s: ", dialect->part_signatures);
+	for (size_t i = 0; i < task->n_shards; i++) {
+		struct message *part = task->shards[i].message;
+		struct wv_string signature;
+
+		if (part == NULL)
+			continue;
+		message_find(part, dialect->signature, &signature);
+		g_string_append(fields, separator);
+		g_string_append_len(
+		    fields, signature.data, (gssize)signature.length);
+		separator = ", ";
+	}
+	g_string_append_printf(fields, "\r\n%s: %zu\r\n",
+	    dialect->missing_parts, task->n_shards - task->included);
+}
+
+static void
+answer_parts(
+    struct entry *entry, struct server_conn *conn, const struct wv_task *task)
+{
+	struct wv_string *parts = g_new0(struct wv_string, task->n_shards);
+	GString *fields = g_string_sized_new(512);
+	struct wv_string merged;
+	size_t n = 0;
+
+	for (size_t i = 0; i < task->n_shards; i++) {
+		struct message *part = task->shards[i].message;
+
+		if (part == NULL)
+			continue;
+		parts[n].data = part->body->str;
+		parts[n++].length = part->body->len;
+	}
+	merged = wv_gather(parts, n, task->route->top_k);
+	append_signatures(fields, entry->dialect, task);
+	server_answer(conn, 200, fields, merged);
+	wv_string_clear(&merged);
+	g_string_free(fields, TRUE);
+	g_free(parts);
+}
+
+static unsigned
+answer_failure(struct entry *entry, struct server_conn *conn,
+    const struct wv_result *result)
+{
+	switch (result->kind) {
+	case WV_RESULT_REFUSED:
+		wv_counter_add(&entry->metrics.refused_not_run, 1);
+		answer_refusal(conn, result->retry_after);
+		return 503;
+	case WV_RESULT_EXPIRED:
+		wv_counter_add(&entry->metrics.expired, 1);
+		server_answer_text(conn, 504, "out of time\n");
+		return 504;
+	case WV_RESULT_RELAY:
+	case WV_RESULT_PARTS:
+	case WV_RESULT_FAILED:
+		break;
+	}
+	wv_counter_add(&entry->metrics.failed, 1);
+	server_answer_text(conn, 502, "no usable answer\n");
+	return 502;
+}
+
+static void
+count_success(struct entry *entry, const struct wv_task *task)
+{
+	size_t missing = task->n_shards - task->included;
+
+	if (missing == 0) {
+		wv_counter_add(&entry->metrics.answers_full, 1);
+		return;
+	}
+	wv_counter_add(&entry->metrics.answers_thin, 1);
+	wv_counter_add(&entry->metrics.parts_left_out, missing);
+}
+
+static void
+log_answer(struct entry *entry, const struct call *call,
+    const struct wv_task *task, unsigned status, const struct wv_result *result)
+{
+	char text[LOG_TEXT];
+	bool good =
+	    result->kind == WV_RESULT_PARTS || result->kind == WV_RESULT_RELAY;
+
+	log_line(entry->log, good ? LOG_DETAIL : LOG_FAILURE, "answered",
+	    "\"id\":\"%s\",\"route\":\"%s\",\"routes_version\":"
+	    "%" G_GUINT64_FORMAT
+	    ",\"status\":%u,\"reason\":\"%s\",\"elapsed_ms\":%.1f,"
+	    "\"parts\":%zu,\"of\":%zu,\"attempts\":%u,\"extra\":%u",
+	    log_escape(call->request.id, text, sizeof(text)),
+	    task->route->name.data, task->routes->version, status,
+	    wv_reason_name(result->reason), entry_now(entry) - task->arrived,
+	    task->included, task->n_shards, task->attempts, task->extra);
+}
+
+static void
+answer_call(struct wv_dispatch_ops *ops, struct wv_task *task,
+    const struct wv_result *result)
+{
+	struct entry *entry = gateway_of(ops)->entry;
+	struct call *call = task->caller;
+	struct server_conn *conn = call->conn;
+	unsigned status = 200;
+
+	metrics_add(
+	    &entry->metrics.request_ms, entry_now(entry) - task->arrived);
+	/* The connection may take its next request while it is answered. */
+	server_conn_set_context(conn, NULL);
+	if (result->kind == WV_RESULT_RELAY) {
+		status = answer_relay(conn, result->message);
+		count_success(entry, task);
+	} else if (result->kind == WV_RESULT_PARTS) {
+		answer_parts(entry, conn, task);
+		count_success(entry, task);
+	} else {
+		status = answer_failure(entry, conn, result);
+	}
+	log_answer(entry, call, task, status, result);
+	call_destroy(call);
+}
+
+static void
+release_searcher(struct wv_fleet_ops *ops, struct wv_searcher *searcher)
+{
+	upstream_release(searcher);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct gateway *gateway = data;
+	struct entry *entry = gateway->entry;
+	wv_msec now = entry_now(entry);
+
+	wv_fleet_tick(entry->fleet, now);
+	wv_dispatch_tick(entry->dispatch, now);
+	gateway_arm(gateway);
+}
+
+void
+gateway_arm(struct gateway *gateway)
+{
+	struct entry *entry = gateway->entry;
+	wv_msec at = fmin(
+	    wv_dispatch_next(entry->dispatch), wv_fleet_next(entry->fleet));
+	struct timeval time;
+
+	if (at >= WV_MSEC_NEVER) {
+		event_del(gateway->timer);
+		return;
+	}
+	time = socket_timeval(at - entry_now(entry));
+	event_add(gateway->timer, &time);
+}
+
+struct gateway *
+gateway_create(struct entry *entry)
+{
+	struct gateway *gateway = g_new0(struct gateway, 1);
+
+	gateway->entry = entry;
+	gateway->ops.send = send_attempt;
+	gateway->ops.cancel = cancel_attempt;
+	gateway->ops.answer = answer_call;
+	gateway->ops.drop = drop_message;
+	gateway->ops.failed = attempt_failed;
+	gateway->fleet_ops.release = release_searcher;
+	entry->fleet = wv_fleet_create(
+	    wv_string_borrow(entry->settings->zone), &gateway->fleet_ops);
+	entry->dispatch =
+	    wv_dispatch_create(entry->fleet, &gateway->ops, entry->incarnation);
+	gateway->timer = event_new(entry->base, -1, 0, on_timer, gateway);
+	gateway->server = server_create(
+	    entry->base, entry->settings->callers, &server_ops, gateway);
+	if (gateway->server != NULL)
+		return gateway;
+	event_free(gateway->timer);
+	g_free(gateway);
+	return NULL;
+}
+
+struct server *
+gateway_server(struct gateway *gateway)
+{
+	return gateway->server;
+}
+
+static void
+abort_call(void *data, struct server_conn *conn)
+{
+	struct gateway *gateway = data;
+	struct call *call = server_conn_context(conn);
+
+	if (call != NULL && call->task != NULL)
+		wv_dispatch_abort(gateway->entry->dispatch,
+		    entry_now(gateway->entry), call->task);
+}
+
+void
+gateway_abort(struct gateway *gateway)
+{
+	server_visit_busy(gateway->server, abort_call, gateway);
+}
+
+void
+gateway_destroy(struct gateway *gateway)
+{
+	struct entry *entry = gateway->entry;
+
+	gateway_abort(gateway);
+	server_destroy(gateway->server);
+	event_free(gateway->timer);
+	wv_fleet_destroy(entry->fleet);
+	wv_dispatch_destroy(entry->dispatch);
+	g_free(gateway);
+}
--- /dev/null
+++ b/entry/main.c
@@ -0,0 +1,360 @@
+/**
+ * @file
+ * wisteriavane-entry: serves callers on an entry VM of a platform.
+ */
+#include <argp.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "daemon/system_clock.h"
+#include "entry/entry.h"
+#include "entry/socket.h"
+
+/** Exit code for faulty settings. */
+#define EXIT_SETTINGS 2
+/** Variable that names the settings file if no option does. */
+#define SETTINGS_VARIABLE "WISTERIAVANE_SETTINGS"
+/** Time between looks whether a stop has ended, ms. */
+#define STOP_LOOK 100
+/** Callers may keep an address so many times longer than they are told. */
+#define ADDRESS_KEPT 3.0
+/** Time before the end of a stop at which the rest is answered, ms. */
+#define STOP_MARGIN 400.0
+
+struct options {
+	const char *settings;
+	const char *check;
+};
+
+static const struct argp_option argp_options[] = {
+    {"settings", 's', "FILE", 0,
+	"settings in JSON; else the variable " SETTINGS_VARIABLE
+	" names the file",
+	0},
+    {"check-settings", 'c', "FILE", 0,
+	"check settings and exit: 0 if they are good, 2 if not", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct options *options = state->input;
+
+	switch (key) {
+	case 's':
+		options->settings = arg;
+		return 0;
+	case 'c':
+		options->check = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (options->settings == NULL)
+			options->settings = getenv(SETTINGS_VARIABLE);
+		if (options->settings == NULL && options->check == NULL)
+			argp_error(state, "--settings is needed");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Reads settings and prints every fault. */
+static struct entry_settings *
+read_settings(const char *file)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	struct entry_settings *settings = entry_settings_read(file, faults);
+
+	for (guint i = 0; i < faults->len; i++)
+		fprintf(stderr, "%s: %s\n", file, (char *)faults->pdata[i]);
+	g_ptr_array_unref(faults);
+	return settings;
+}
+
+static int
+check_settings(const char *file)
+{
+	struct entry_settings *settings = read_settings(file);
+
+	if (settings == NULL)
+		return EXIT_SETTINGS;
+	printf("%s: ok\n", file);
+	entry_settings_destroy(settings);
+	return EXIT_SUCCESS;
+}
+
+static void
+on_address_query(
+    void *data, struct server_conn *conn, const struct message *message)
+{
+	struct entry *entry = data;
+	GString *fields = g_string_new("Content-Type: application/json\r\n");
+	GPtrArray *addresses = g_ptr_array_new();
+	struct wv_string body;
+
+	wv_peers_addresses(entry->peers, entry_now(entry), addresses);
+	if ((entry_is_ready(entry) && !entry->stopping) || addresses->len == 0)
+		g_ptr_array_add(addresses, entry->settings->callers);
+	wv_counter_add(&entry->metrics.address_answers, 1);
+	if (entry->dialect->is_address_query(message_target(message))) {
+		body = entry->dialect->encode_addresses(
+		    addresses, entry->settings->address_lifetime_s * 1000);
+		server_answer(conn, 200, fields, body);
+		wv_string_clear(&body);
+	} else {
+		server_answer_text(conn, 404, "unknown path\n");
+	}
+	g_ptr_array_free(addresses, TRUE);
+	g_string_free(fields, TRUE);
+}
+
+static void
+on_readiness_query(
+    void *data, struct server_conn *conn, const struct message *message)
+{
+	struct entry *entry = data;
+	bool ready = entry_is_ready(entry) && !entry->stopping;
+
+	if (!entry->dialect->is_readiness_query(message_target(message)))
+		server_answer_text(conn, 404, "unknown path\n");
+	else
+		server_answer_text(
+		    conn, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+}
+
+static void
+on_metrics_query(
+    void *data, struct server_conn *conn, const struct message *message)
+{
+	struct entry *entry = data;
+	GString *text = metrics_text(&entry->metrics);
+	struct wv_string body = {text->str, text->len};
+
+	server_answer(conn, 200, NULL, body);
+	g_string_free(text, TRUE);
+}
+
+static void
+ignore_left(void *data, struct server_conn *conn)
+{
+}
+
+static void
+ignore_refused(void *data, unsigned status)
+{
+}
+
+static const struct server_ops address_ops = {
+    on_address_query, ignore_left, ignore_refused};
+static const struct server_ops readiness_ops = {
+    on_readiness_query, ignore_left, ignore_refused};
+static const struct server_ops metrics_ops = {
+    on_metrics_query, ignore_left, ignore_refused};
+
+/* The process that runs, for handlers of signals and timers. */
+struct process {
+	struct entry entry;
+	struct event *terminate;
+	struct event *interrupt;
+	struct event *reload;
+	struct event *stop_timer;
+};
+
+static void
+end_loop(struct process *process)
+{
+	struct entry *entry = &process->entry;
+
+	log_line(entry->log, LOG_CHANGE, "stopped", "\"after_ms\":%.0f",
+	    entry_now(entry) - entry->stop_at);
+	event_base_loopbreak(entry->base);
+}
+
+/*
+ * Ends when callers no longer use this VM's address and nothing is in
+ * progress; shortly before the limit, what is left gets its final answer.
+ */
+static void
+on_stop_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct process *process = data;
+	struct entry *entry = &process->entry;
+	struct timeval time = socket_timeval(STOP_LOOK);
+	struct server *server = gateway_server(entry->gateway);
+	wv_msec passed = entry_now(entry) - entry->stop_at;
+	wv_msec limit = entry->settings->stop_s * 1000;
+
+	if (passed >= limit - STOP_MARGIN)
+		gateway_abort(entry->gateway);
+	if (passed >= limit - STOP_MARGIN / 2 ||
+	    (server_is_flushed(server) &&
+		passed >= ADDRESS_KEPT * 1000 *
+			entry->settings->address_lifetime_s)) {
+		end_loop(process);
+		return;
+	}
+	event_add(process->stop_timer, &time);
+}
+
+static void
+on_terminate(evutil_socket_t fd, short what, void *data)
+{
+	struct process *process = data;
+	struct entry *entry = &process->entry;
+
+	if (entry->stopping)
+		return;
+	entry->stopping = true;
+	entry->stop_at = entry_now(entry);
+	log_line(entry->log, LOG_CHANGE, "stopping", "\"in_progress\":%zu",
+	    server_busy(gateway_server(entry->gateway)));
+	reports_send(entry->reports);
+	server_drain(gateway_server(entry->gateway));
+	on_stop_timer(-1, 0, process);
+}
+
+/* Takes the settings that may change while the process runs. */
+static void
+apply_settings(struct entry *entry, struct entry_settings *settings)
+{
+	entry->settings->retry_ratio = settings->retry_ratio;
+	entry->settings->retry_slack = settings->retry_slack;
+	entry->settings->retry_window_s = settings->retry_window_s;
+	entry->settings->stop_s = settings->stop_s;
+	entry->settings->address_lifetime_s = settings->address_lifetime_s;
+	entry->settings->capacity = settings->capacity;
+	entry_set_terms(entry);
+}
+
+static void
+on_reload(evutil_socket_t fd, short what, void *data)
+{
+	struct process *process = data;
+	struct entry *entry = &process->entry;
+	struct entry_settings *settings = read_settings(entry->settings_file);
+
+	log_line(entry->log, LOG_CHANGE, "settings_reloaded", "\"accepted\":%s",
+	    settings == NULL ? "false" : "true");
+	if (settings != NULL)
+		apply_settings(entry, settings);
+	entry_settings_destroy(settings);
+}
+
+static struct event *
+watch_signal(struct process *process, int number, event_callback_fn handler)
+{
+	struct event *event =
+	    evsignal_new(process->entry.base, number, handler, process);
+
+	event_add(event, NULL);
+	return event;
+}
+
+static bool
+open_servers(struct entry *entry)
+{
+	const struct entry_settings *settings = entry->settings;
+
+	entry->gateway = gateway_create(entry);
+	entry->addresses = server_create(
+	    entry->base, settings->addresses, &address_ops, entry);
+	entry->readiness = server_create(
+	    entry->base, settings->readiness, &readiness_ops, entry);
+	entry->metrics_server =
+	    server_create(entry->base, settings->metrics, &metrics_ops, entry);
+	if (entry->gateway == NULL || entry->addresses == NULL ||
+	    entry->readiness == NULL || entry->metrics_server == NULL)
+		return false;
+	entry_set_terms(entry);
+	entry->reports = reports_create(entry);
+	return entry->reports != NULL;
+}
+
+static void
+start(struct process *process)
+{
+	struct entry *entry = &process->entry;
+
+	process->terminate = watch_signal(process, SIGTERM, on_terminate);
+	process->interrupt = watch_signal(process, SIGINT, on_terminate);
+	process->reload = watch_signal(process, SIGHUP, on_reload);
+	process->stop_timer =
+	    event_new(entry->base, -1, 0, on_stop_timer, process);
+	entry->store = store_sync_create(entry);
+	log_line(entry->log, LOG_CHANGE, "started",
+	    "\"zone\":\"%s\",\"callers\":\"%s\",\"incarnation\":"
+	    "%" G_GUINT64_FORMAT,
+	    entry->settings->zone, entry->settings->callers,
+	    entry->incarnation);
+}
+
+static void
+finish(struct process *process)
+{
+	struct entry *entry = &process->entry;
+
+	store_sync_destroy(entry->store);
+	reports_destroy(entry->reports);
+	gateway_destroy(entry->gateway);
+	server_destroy(entry->addresses);
+	server_destroy(entry->readiness);
+	server_destroy(entry->metrics_server);
+	event_free(process->terminate);
+	event_free(process->interrupt);
+	event_free(process->reload);
+	event_free(process->stop_timer);
+	wv_routes_unref(entry->routes);
+	wv_peers_destroy(entry->peers);
+	log_destroy(entry->log);
+	entry_settings_destroy(entry->settings);
+	g_free(entry->settings_file);
+	event_base_free(entry->base);
+}
+
+static int
+run(const char *file)
+{
+	struct process process = {0};
+	struct entry *entry = &process.entry;
+
+	entry->settings = read_settings(file);
+	if (entry->settings == NULL)
+		return EXIT_SETTINGS;
+	entry->settings_file = g_strdup(file);
+	system_clock_init(&entry->clock);
+	entry->base = event_base_new();
+	entry->dialect = platform_dialect();
+	entry->incarnation = (uint64_t)wv_clock_unix(&entry->clock);
+	entry->started_at = entry_now(entry);
+	metrics_init(&entry->metrics);
+	entry->log = log_create(entry->base, &entry->clock, STDOUT_FILENO,
+	    wv_string_borrow(entry->settings->vm));
+	entry->peers = wv_peers_create(wv_string_borrow(entry->settings->vm));
+	if (!open_servers(entry)) {
+		fprintf(stderr, "cannot listen: %s\n", strerror(errno));
+		return EXIT_FAILURE;
+	}
+	start(&process);
+	event_base_dispatch(entry->base);
+	finish(&process);
+	return EXIT_SUCCESS;
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct argp argp = {argp_options, parse_option, NULL,
+	    "Serves callers on an entry VM.", NULL, NULL, NULL};
+	struct options options = {0};
+
+	argp_parse(&argp, argc, argv, 0, NULL, &options);
+	if (options.check != NULL)
+		return check_settings(options.check);
+	signal(SIGPIPE, SIG_IGN);
+	return run(options.settings);
+}
--- /dev/null
+++ b/entry/message.c
@@ -0,0 +1,470 @@
+/**
+ * @file
+ * HTTP/1.1 messages.
+ */
+#include <string.h>
+
+#include "entry/message.h"
+
+/** Bytes of text and body that a message begins with. */
+#define TEXT_SIZE 512
+#define BODY_SIZE 256
+
+/** Fields that concern one connection only. */
+static const char *const hop_fields[] = {"connection", "keep-alive",
+    "proxy-connection", "transfer-encoding", "content-length", "te", "trailer",
+    "upgrade", "proxy-authenticate", "proxy-authorization", "expect"};
+
+static struct message *
+message_create(void)
+{
+	struct message *message = g_new0(struct message, 1);
+
+	message->text = g_string_sized_new(TEXT_SIZE);
+	message->fields =
+	    g_array_sized_new(FALSE, FALSE, sizeof(struct message_field), 16);
+	message->body = g_string_sized_new(BODY_SIZE);
+	return message;
+}
+
+void
+message_destroy(struct message *message)
+{
+	if (message == NULL)
+		return;
+	g_string_free(message->text, TRUE);
+	g_array_free(message->fields, TRUE);
+	g_string_free(message->body, TRUE);
+	g_free(message);
+}
+
+struct wv_string
+message_target(const struct message *message)
+{
+	struct wv_string target = {message->text->str, message->target_length};
+
+	return target;
+}
+
+static const struct message_field *
+field_at(const struct message *message, guint i)
+{
+	return &g_array_index(message->fields, struct message_field, i);
+}
+
+struct wv_string
+message_name(const struct message *message, guint i)
+{
+	const struct message_field *field = field_at(message, i);
+	struct wv_string name = {
+	    message->text->str + field->name, field->name_length};
+
+	return name;
+}
+
+struct wv_string
+message_value(const struct message *message, guint i)
+{
+	const struct message_field *field = field_at(message, i);
+	struct wv_string value = {
+	    message->text->str + field->value, field->value_length};
+
+	return value;
+}
+
+bool
+message_name_is(struct wv_string name, const char *text)
+{
+	return strlen(text) == name.length &&
+	    g_ascii_strncasecmp(name.data, text, name.length) == 0;
+}
+
+unsigned
+message_find(
+    const struct message *message, const char *name, struct wv_string *value)
+{
+	unsigned found = 0;
+
+	for (guint i = 0; i < message->fields->len; i++) {
+		if (!message_name_is(message_name(message, i), name))
+			continue;
+		if (found++ == 0 && value != NULL)
+			*value = message_value(message, i);
+	}
+	return found;
+}
+
+/* Whether a list separated by commas holds a word. */
+static bool
+list_holds(struct wv_string list, struct wv_string word)
+{
+	size_t at = 0;
+
+	while (at < list.length) {
+		size_t end = at;
+
+		while (end < list.length && list.data[end] != ',')
+			end++;
+		while (at < end && g_ascii_isspace(list.data[at]))
+			at++;
+		if (end - at >= word.length &&
+		    g_ascii_strncasecmp(
+			list.data + at, word.data, word.length) == 0) {
+			size_t rest = at + word.length;
+
+			while (rest < end && g_ascii_isspace(list.data[rest]))
+				rest++;
+			if (rest == end)
+				return true;
+		}
+		at = end + 1;
+	}
+	return false;
+}
+
+bool
+message_is_hop_field(const struct message *message, guint i)
+{
+	struct wv_string name = message_name(message, i);
+
+	for (size_t k = 0; k < G_N_ELEMENTS(hop_fields); k++) {
+		if (message_name_is(name, hop_fields[k]))
+			return true;
+	}
+	for (guint k = 0; k < message->fields->len; k++) {
+		if (message_name_is(message_name(message, k), "connection") &&
+		    list_holds(message_value(message, k), name))
+			return true;
+	}
+	return false;
+}
+
+static struct message *
+of(http_parser *parser)
+{
+	return ((struct message_parser *)parser->data)->message;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t length)
+{
+	struct message *message = of(parser);
+
+	g_string_append_len(message->text, at, (gssize)length);
+	message->target_length = (guint)message->text->len;
+	return 0;
+}
+
+static int
+on_name(http_parser *parser, const char *at, size_t length)
+{
+	struct message_parser *self = parser->data;
+	struct message *message = self->message;
+	struct message_field *field;
+
+	if (message->fields->len == 0 || self->value_last) {
+		struct message_field fresh = {
+		    (guint)message->text->len, 0, 0, 0};
+
+		g_array_append_val(message->fields, fresh);
+		self->value_last = false;
+	}
+	field = &g_array_index(
+	    message->fields, struct message_field, message->fields->len - 1);
+	g_string_append_len(message->text, at, (gssize)length);
+	field->name_length += (guint)length;
+	return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t length)
+{
+	struct message_parser *self = parser->data;
+	struct message *message = self->message;
+	struct message_field *field = &g_array_index(
+	    message->fields, struct message_field, message->fields->len - 1);
+
+	if (!self->value_last)
+		field->value = (guint)message->text->len;
+	self->value_last = true;
+	g_string_append_len(message->text, at, (gssize)length);
+	field->value_length += (guint)length;
+	return 0;
+}
+
+static bool
+is_token(struct wv_string name)
+{
+	for (size_t i = 0; i < name.length; i++) {
+		if (!g_ascii_isalnum(name.data[i]) &&
+		    strchr("!#$%&'*+-.^_`|~", name.data[i]) == NULL)
+			return false;
+	}
+	return name.length > 0;
+}
+
+static bool
+is_field_text(struct wv_string value)
+{
+	for (size_t i = 0; i < value.length; i++) {
+		unsigned char c = (unsigned char)value.data[i];
+
+		if ((c < 0x20 && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+static void
+trim_values(struct message *message)
+{
+	for (guint i = 0; i < message->fields->len; i++) {
+		struct message_field *field =
+		    &g_array_index(message->fields, struct message_field, i);
+		const char *text = message->text->str;
+
+		while (field->value_length > 0 &&
+		    strchr(" \t",
+			text[field->value + field->value_length - 1]) != NULL)
+			field->value_length--;
+	}
+}
+
+/* Whether all fields are well formed. */
+static bool
+are_fields_sound(const struct message *message)
+{
+	for (guint i = 0; i < message->fields->len; i++) {
+		if (!is_token(message_name(message, i)) ||
+		    !is_field_text(message_value(message, i)))
+			return false;
+	}
+	return message_find(message, "content-length", NULL) <= 1 &&
+	    message_find(message, "transfer-encoding", NULL) <= 1;
+}
+
+/* Whether an answer's body ends only with the connection. */
+static bool
+has_no_length(const http_parser *parser)
+{
+	return parser->status_code >= 200 && parser->status_code != 204 &&
+	    parser->status_code != 304 &&
+	    (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+}
+
+static int
+on_headers(http_parser *parser)
+{
+	struct message_parser *self = parser->data;
+	struct message *message = self->message;
+
+	trim_values(message);
+	if (!are_fields_sound(message)) {
+		self->fault = MESSAGE_MALFORMED;
+		return -1;
+	}
+	self->headers_done = true;
+	message->method = parser->method;
+	message->status = parser->status_code;
+	message->keep_alive = http_should_keep_alive(parser) != 0;
+	message->until_close = parser->type == HTTP_RESPONSE &&
+	    !self->no_body && has_no_length(parser);
+	parser->upgrade = 0;
+	if ((parser->flags & F_CONTENTLENGTH) != 0 &&
+	    parser->content_length > self->body_limit) {
+		self->fault = MESSAGE_BODY_TOO_LARGE;
+		return -1;
+	}
+	return self->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t length)
+{
+	struct message_parser *self = parser->data;
+
+	if (self->message->body->len + length > self->body_limit) {
+		self->fault = MESSAGE_BODY_TOO_LARGE;
+		return -1;
+	}
+	g_string_append_len(self->message->body, at, (gssize)length);
+	return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+	struct message_parser *self = parser->data;
+
+	self->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {.on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete};
+
+void
+message_parser_init(struct message_parser *parser, enum http_parser_type type,
+    size_t header_limit, size_t body_limit)
+{
+	memset(parser, 0, sizeof(*parser));
+	parser->header_limit = header_limit;
+	parser->body_limit = body_limit;
+	http_parser_init(&parser->parser, type);
+	parser->parser.data = parser;
+}
+
+void
+message_parser_clear(struct message_parser *parser)
+{
+	message_destroy(parser->message);
+	parser->message = NULL;
+}
+
+void
+message_parser_next(struct message_parser *parser, bool no_body)
+{
+	enum http_parser_type type = parser->parser.type;
+	size_t header_limit = parser->header_limit;
+	size_t body_limit = parser->body_limit;
+
+	message_parser_clear(parser);
+	message_parser_init(parser, type, header_limit, body_limit);
+	parser->no_body = no_body;
+}
+
+bool
+message_parser_started(const struct message_parser *parser)
+{
+	return parser->header_bytes > 0;
+}
+
+/*
+ * Checks the line ends of header bytes and counts them. Returns the number of
+ * bytes up to the end of the header, or of all; -1 if they are refused.
+ */
+static gssize
+check_header(struct message_parser *parser, const char *data, size_t length)
+{
+	for (size_t i = 0; i < length; i++) {
+		char c = data[i];
+
+		if (c == '\n') {
+			if (parser->last_byte != '\r')
+				return -1;
+			if (parser->line_length == 1 &&
+			    parser->header_bytes + i > 2)
+				return (gssize)i + 1;
+			parser->line_length = 0;
+		} else {
+			bool folded =
+			    parser->line_length == 0 && (c == ' ' || c == '\t');
+
+			if (folded || parser->last_byte == '\r' || c == '\0')
+				return -1;
+			parser->line_length++;
+		}
+		parser->last_byte = c;
+	}
+	return (gssize)length;
+}
+
+static enum parse_state
+refuse(struct message_parser *parser, enum message_fault fault)
+{
+	if (parser->fault == MESSAGE_OK)
+		parser->fault = fault;
+	return PARSE_FAULT;
+}
+
+static enum parse_state
+check_result(struct message_parser *parser)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&parser->parser);
+
+	if (parser->fault != MESSAGE_OK)
+		return PARSE_FAULT;
+	if (parser->complete)
+		return PARSE_COMPLETE;
+	if (error == HPE_HEADER_OVERFLOW)
+		return refuse(parser, MESSAGE_HEADER_TOO_LARGE);
+	if (error != HPE_OK)
+		return refuse(parser, MESSAGE_MALFORMED);
+	return PARSE_MORE;
+}
+
+enum parse_state
+message_parser_feed(struct message_parser *parser, const char *data,
+    size_t length, size_t *used)
+{
+	size_t at = 0;
+
+	if (parser->message == NULL)
+		parser->message = message_create();
+	if (!parser->headers_done) {
+		gssize head = check_header(parser, data, length);
+
+		if (head < 0)
+			return refuse(parser, MESSAGE_MALFORMED);
+		parser->header_bytes += (size_t)head;
+		at = http_parser_execute(
+		    &parser->parser, &callbacks, data, (size_t)head);
+		*used = at;
+		if (parser->header_bytes > parser->header_limit)
+			return refuse(parser, MESSAGE_HEADER_TOO_LARGE);
+		if (check_result(parser) != PARSE_MORE ||
+		    (size_t)head == length)
+			return check_result(parser);
+	}
+	*used = at +
+	    http_parser_execute(
+		&parser->parser, &callbacks, data + at, length - at);
+	return check_result(parser);
+}
+
+enum parse_state
+message_parser_end(struct message_parser *parser)
+{
+	if (!parser->headers_done || parser->complete)
+		return PARSE_FAULT;
+	http_parser_execute(&parser->parser, &callbacks, NULL, 0);
+	return parser->complete ? PARSE_COMPLETE : PARSE_FAULT;
+}
+
+struct message *
+message_parser_take(struct message_parser *parser)
+{
+	struct message *message = parser->message;
+
+	parser->message = NULL;
+	return message;
+}
+
+void
+message_append_field(
+    GString *out, struct wv_string name, struct wv_string value)
+{
+	g_string_append_len(out, name.data, (gssize)name.length);
+	g_string_append_len(out, ": ", 2);
+	g_string_append_len(out, value.data, (gssize)value.length);
+	g_string_append_len(out, "\r\n", 2);
+}
+
+bool
+message_parse_number(struct wv_string text, uint64_t *number)
+{
+	*number = 0;
+	if (text.length == 0 || text.length > 18)
+		return false;
+	for (size_t i = 0; i < text.length; i++) {
+		if (!g_ascii_isdigit(text.data[i]))
+			return false;
+		*number = *number * 10 + (uint64_t)(text.data[i] - '0');
+	}
+	return true;
+}
--- /dev/null
+++ b/entry/server.c
@@ -0,0 +1,493 @@
+/**
+ * @file
+ * HTTP/1.1 server connections.
+ */
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry/server.h"
+#include "entry/socket.h"
+
+/** Waiting connections of a listener. */
+#define BACKLOG 1024
+/** Bytes read at once. */
+#define READ_SIZE 65536
+/** Bytes of later requests that wait on a connection. */
+#define PENDING_MOST 65536
+/** How long a refused caller may take to close, ms. */
+#define LINGER 1000
+/** Connections accepted in one turn of the loop. */
+#define ACCEPT_MOST 64
+/** Bounds while no configuration is known. */
+static const struct wv_caller_limits first_limits = {.header_bytes = 16384,
+    .body_bytes = 262144,
+    .header_timeout = 3000,
+    .idle_timeout = 15000};
+
+enum conn_state {
+	CONN_READING, /* waits for a request or reads one */
+	CONN_BUSY, /* a request waits for its answer */
+	CONN_WRITING, /* the answer is being written */
+	CONN_LINGERING /* refused; waits for the caller to close */
+};
+
+struct server {
+	struct event_base *base;
+	const struct server_ops *ops;
+	void *data;
+	struct event *accept;
+	int fd;
+	struct wv_caller_limits limits;
+	bool draining;
+	struct server_conn *conns;
+	size_t n_conns;
+	size_t n_busy;
+	size_t n_writing;
+};
+
+struct server_conn {
+	struct server *server;
+	struct server_conn *next;
+	struct server_conn *previous;
+	int fd;
+	enum conn_state state;
+	struct event *read;
+	struct event *write;
+	struct event *timer;
+	struct message_parser parser;
+	struct message *request; /* in progress; owned */
+	GString *pending; /* bytes of later requests */
+	GString *out; /* the answer, as far as it is not written */
+	size_t written;
+	bool close_after;
+	bool timer_is_idle;
+	void *context;
+};
+
+static void
+set_state(struct server_conn *conn, enum conn_state state)
+{
+	struct server *server = conn->server;
+
+	server->n_busy -= conn->state == CONN_BUSY;
+	server->n_writing -= conn->state == CONN_WRITING;
+	conn->state = state;
+	server->n_busy += state == CONN_BUSY;
+	server->n_writing += state == CONN_WRITING;
+}
+
+static void
+conn_close(struct server_conn *conn)
+{
+	struct server *server = conn->server;
+
+	set_state(conn, CONN_LINGERING);
+	if (conn->previous != NULL)
+		conn->previous->next = conn->next;
+	else
+		server->conns = conn->next;
+	if (conn->next != NULL)
+		conn->next->previous = conn->previous;
+	server->n_conns--;
+	event_free(conn->read);
+	event_free(conn->write);
+	event_free(conn->timer);
+	close(conn->fd);
+	message_parser_clear(&conn->parser);
+	message_destroy(conn->request);
+	g_string_free(conn->pending, TRUE);
+	g_string_free(conn->out, TRUE);
+	g_free(conn);
+}
+
+static void
+set_timer(struct server_conn *conn, wv_msec delay)
+{
+	struct timeval time = socket_timeval(delay);
+
+	event_add(conn->timer, &time);
+}
+
+/* Waits for the caller to close, so that it can read the answer. */
+static void
+linger(struct server_conn *conn)
+{
+	set_state(conn, CONN_LINGERING);
+	shutdown(conn->fd, SHUT_WR);
+	set_timer(conn, LINGER);
+}
+
+static void
+wait_for_request(struct server_conn *conn)
+{
+	const struct wv_caller_limits *limits = &conn->server->limits;
+
+	set_state(conn, CONN_READING);
+	conn->context = NULL;
+	message_destroy(conn->request);
+	conn->request = NULL;
+	conn->parser.header_limit = limits->header_bytes;
+	conn->parser.body_limit = limits->body_bytes;
+	message_parser_next(&conn->parser, false);
+	conn->timer_is_idle = true;
+	set_timer(conn, limits->idle_timeout);
+	event_add(conn->read, NULL);
+}
+
+static void feed(struct server_conn *conn, const char *data, size_t length);
+
+/* The answer is out: the next request, or the end of the connection. */
+static void
+answer_written(struct server_conn *conn)
+{
+	GString *pending = conn->pending;
+
+	g_string_truncate(conn->out, 0);
+	conn->written = 0;
+	if (conn->close_after) {
+		linger(conn);
+		return;
+	}
+	wait_for_request(conn);
+	if (pending->len == 0)
+		return;
+	conn->pending = g_string_new(NULL);
+	feed(conn, pending->str, pending->len);
+	g_string_free(pending, TRUE);
+}
+
+static void
+write_some(struct server_conn *conn)
+{
+	size_t left = conn->out->len - conn->written;
+	ssize_t n = send(conn->fd, conn->out->str + conn->written, left,
+	    MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	if (n < 0 && errno != EAGAIN && errno != EINTR) {
+		conn_close(conn);
+		return;
+	}
+	conn->written += n > 0 ? (size_t)n : 0;
+	if (conn->written == conn->out->len)
+		answer_written(conn);
+	else
+		event_add(conn->write, NULL);
+}
+
+static void
+begin_writing(struct server_conn *conn)
+{
+	set_state(conn, CONN_WRITING);
+	set_timer(conn, conn->server->limits.idle_timeout);
+	write_some(conn);
+}
+
+static void
+append_head(struct server_conn *conn, unsigned status, const GString *fields,
+    size_t body_length)
+{
+	GString *out = conn->out;
+
+	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
+	    http_status_str((enum http_status)status));
+	if (fields != NULL)
+		g_string_append_len(out, fields->str, (gssize)fields->len);
+	if (status >= 200 && status != 204 && status != 304)
+		g_string_append_printf(
+		    out, "Content-Length: %zu\r\n", body_length);
+	if (conn->close_after)
+		g_string_append(out, "Connection: close\r\n");
+	g_string_append(out, "\r\n");
+}
+
+void
+server_answer(struct server_conn *conn, unsigned status, const GString *fields,
+    struct wv_string body)
+{
+	bool head = conn->request != NULL && conn->request->method == HTTP_HEAD;
+
+	if (conn->server->draining ||
+	    (conn->request != NULL && !conn->request->keep_alive))
+		conn->close_after = true;
+	append_head(conn, status, fields, body.length);
+	if (!head && status != 204 && status != 304)
+		g_string_append_len(conn->out, body.data, (gssize)body.length);
+	begin_writing(conn);
+}
+
+void
+server_answer_text(struct server_conn *conn, unsigned status, const char *text)
+{
+	GString *fields = g_string_new("Content-Type: text/plain\r\n");
+
+	server_answer(conn, status, fields, wv_string_borrow(text));
+	g_string_free(fields, TRUE);
+}
+
+static void
+refuse(struct server_conn *conn, unsigned status)
+{
+	conn->server->ops->refused(conn->server->data, status);
+	conn->close_after = true;
+	server_answer_text(conn, status, "refused\n");
+}
+
+static unsigned
+status_of(enum message_fault fault)
+{
+	switch (fault) {
+	case MESSAGE_HEADER_TOO_LARGE:
+		return 431;
+	case MESSAGE_BODY_TOO_LARGE:
+		return 413;
+	case MESSAGE_OK:
+	case MESSAGE_MALFORMED:
+		break;
+	}
+	return 400;
+}
+
+static void
+take_request(struct server_conn *conn)
+{
+	struct server *server = conn->server;
+
+	event_del(conn->timer);
+	conn->request = message_parser_take(&conn->parser);
+	set_state(conn, CONN_BUSY);
+	server->ops->request(server->data, conn, conn->request);
+}
+
+static bool
+expects_continue(const struct message_parser *parser)
+{
+	struct wv_string value;
+
+	return parser->headers_done && !parser->complete &&
+	    message_find(parser->message, "expect", &value) == 1 &&
+	    message_name_is(value, "100-continue") &&
+	    parser->message->body->len == 0;
+}
+
+/* Reads bytes of a request; the connection may be gone afterwards. */
+static void
+feed(struct server_conn *conn, const char *data, size_t length)
+{
+	bool had_headers = conn->parser.headers_done;
+	enum parse_state state;
+	size_t used = 0;
+
+	state = message_parser_feed(&conn->parser, data, length, &used);
+	if (state == PARSE_FAULT) {
+		refuse(conn, status_of(conn->parser.fault));
+		return;
+	}
+	if (state == PARSE_COMPLETE) {
+		g_string_append_len(
+		    conn->pending, data + used, (gssize)(length - used));
+		take_request(conn);
+		return;
+	}
+	if (conn->timer_is_idle && message_parser_started(&conn->parser)) {
+		conn->timer_is_idle = false;
+		set_timer(conn, conn->server->limits.header_timeout);
+	}
+	if (!had_headers && conn->parser.headers_done) {
+		set_timer(conn, conn->server->limits.idle_timeout);
+		if (expects_continue(&conn->parser))
+			send(conn->fd, "HTTP/1.1 100 Continue\r\n\r\n", 25,
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+	}
+}
+
+static void
+caller_left(struct server_conn *conn)
+{
+	if (conn->state == CONN_BUSY)
+		conn->server->ops->left(conn->server->data, conn);
+	conn_close(conn);
+}
+
+static void
+take_bytes(struct server_conn *conn, const char *data, size_t length)
+{
+	if (conn->state == CONN_READING) {
+		feed(conn, data, length);
+	} else if (conn->state != CONN_LINGERING) {
+		g_string_append_len(conn->pending, data, (gssize)length);
+		if (conn->pending->len > PENDING_MOST)
+			event_del(conn->read);
+	}
+}
+
+static void
+on_read(evutil_socket_t fd, short what, void *data)
+{
+	static _Thread_local char buffer[READ_SIZE];
+	struct server_conn *conn = data;
+	ssize_t n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+	if (n > 0)
+		take_bytes(conn, buffer, (size_t)n);
+	else if (n == 0 || (errno != EAGAIN && errno != EINTR))
+		caller_left(conn);
+}
+
+static void
+on_write(evutil_socket_t fd, short what, void *data)
+{
+	write_some(data);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct server_conn *conn = data;
+
+	if (conn->state == CONN_READING &&
+	    message_parser_started(&conn->parser))
+		refuse(conn, 408);
+	else if (conn->state != CONN_BUSY)
+		conn_close(conn);
+}
+
+static void
+conn_create(struct server *server, int fd)
+{
+	struct server_conn *conn = g_new0(struct server_conn, 1);
+
+	conn->server = server;
+	conn->fd = fd;
+	conn->read =
+	    event_new(server->base, fd, EV_READ | EV_PERSIST, on_read, conn);
+	conn->write = event_new(server->base, fd, EV_WRITE, on_write, conn);
+	conn->timer = event_new(server->base, -1, 0, on_timer, conn);
+	conn->pending = g_string_new(NULL);
+	conn->out = g_string_sized_new(1024);
+	message_parser_init(&conn->parser, HTTP_REQUEST,
+	    server->limits.header_bytes, server->limits.body_bytes);
+	conn->next = server->conns;
+	if (conn->next != NULL)
+		conn->next->previous = conn;
+	server->conns = conn;
+	server->n_conns++;
+	wait_for_request(conn);
+}
+
+static void
+on_accept(evutil_socket_t listener, short what, void *data)
+{
+	struct server *server = data;
+
+	for (int i = 0; i < ACCEPT_MOST; i++) {
+		int fd = accept(listener, NULL, NULL);
+
+		if (fd < 0)
+			return;
+		evutil_make_socket_nonblocking(fd);
+		evutil_make_socket_closeonexec(fd);
+		socket_set_no_delay(fd);
+		conn_create(server, fd);
+	}
+}
+
+struct server *
+server_create(struct event_base *base, const char *address,
+    const struct server_ops *ops, void *data)
+{
+	int fd = socket_listen(address, BACKLOG);
+	struct server *server;
+
+	if (fd < 0)
+		return NULL;
+	server = g_new0(struct server, 1);
+	server->base = base;
+	server->ops = ops;
+	server->data = data;
+	server->fd = fd;
+	server->limits = first_limits;
+	server->accept =
+	    event_new(base, fd, EV_READ | EV_PERSIST, on_accept, server);
+	event_add(server->accept, NULL);
+	return server;
+}
+
+void
+server_stop_listening(struct server *server)
+{
+	if (server->accept == NULL)
+		return;
+	event_free(server->accept);
+	server->accept = NULL;
+	close(server->fd);
+}
+
+void
+server_destroy(struct server *server)
+{
+	server_stop_listening(server);
+	while (server->conns != NULL)
+		conn_close(server->conns);
+	g_free(server);
+}
+
+void
+server_set_limits(struct server *server, const struct wv_caller_limits *limits)
+{
+	server->limits = *limits;
+}
+
+void
+server_drain(struct server *server)
+{
+	server->draining = true;
+}
+
+size_t
+server_busy(const struct server *server)
+{
+	return server->n_busy;
+}
+
+size_t
+server_connections(const struct server *server)
+{
+	return server->n_conns;
+}
+
+bool
+server_is_flushed(const struct server *server)
+{
+	return server->n_busy == 0 && server->n_writing == 0;
+}
+
+void
+server_visit_busy(struct server *server,
+    void (*visit)(void *data, struct server_conn *conn), void *data)
+{
+	struct server_conn *conn = server->conns;
+
+	while (conn != NULL) {
+		struct server_conn *next = conn->next;
+
+		if (conn->state == CONN_BUSY)
+			visit(data, conn);
+		conn = next;
+	}
+}
+
+void
+server_conn_set_context(struct server_conn *conn, void *context)
+{
+	conn->context = context;
+}
+
+void *
+server_conn_context(const struct server_conn *conn)
+{
+	return conn->context;
+}
--- /dev/null
+++ b/entry/settings.c
@@ -0,0 +1,166 @@
+/**
+ * @file
+ * Settings of the entry server.
+ */
+#include <stddef.h>
+
+#include "entry/settings.h"
+#include "entry/socket.h"
+#include "http/json.h"
+
+enum field_kind { FIELD_NAME, FIELD_ADDRESS, FIELD_NUMBER };
+
+struct field {
+	const char *name;
+	enum field_kind kind;
+	size_t offset;
+	double least; /* numbers */
+	double most;
+};
+
+#define TEXT(name, kind)                                                 \
+	{                                                                \
+#name, kind, offsetof(struct entry_settings, name), 0, 0 \
+	}
+#define NUMBER(name, least, most)                                           \
+	{                                                                   \
+#name, FIELD_NUMBER, offsetof(struct entry_settings, name), \
+		    least, most                                             \
+	}
+
+static const struct field fields[] = {
+    TEXT(vm, FIELD_NAME),
+    TEXT(zone, FIELD_NAME),
+    TEXT(callers, FIELD_ADDRESS),
+    TEXT(readiness, FIELD_ADDRESS),
+    TEXT(addresses, FIELD_ADDRESS),
+    TEXT(peers, FIELD_ADDRESS),
+    TEXT(metrics, FIELD_ADDRESS),
+    TEXT(store, FIELD_ADDRESS),
+    NUMBER(capacity, 0.01, 1024),
+    NUMBER(retry_ratio, 0, 10),
+    NUMBER(retry_slack, 0, 1e6),
+    NUMBER(retry_window_s, 0.1, 3600),
+    NUMBER(stop_s, 0.5, 3600),
+    NUMBER(address_lifetime_s, 0.1, 3600),
+};
+
+static void
+add_fault(GPtrArray *faults, const char *name, const char *what)
+{
+	g_ptr_array_add(faults, g_strdup_printf("$.%s: %s", name, what));
+}
+
+static const struct field *
+find_field(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		if (g_str_equal(fields[i].name, name))
+			return &fields[i];
+	}
+	return NULL;
+}
+
+static void
+read_text(struct entry_settings *settings, const struct field *field,
+    JsonObject *object, GPtrArray *faults)
+{
+	struct wv_string value = wv_json_string(object, field->name);
+	struct sockaddr_in parsed;
+
+	if (value.length == 0) {
+		add_fault(faults, field->name, "a text is needed");
+		return;
+	}
+	if (field->kind == FIELD_ADDRESS &&
+	    !socket_parse(value.data, &parsed)) {
+		add_fault(faults, field->name, "not an IPv4 address and port");
+		return;
+	}
+	*(char **)((char *)settings + field->offset) = g_strdup(value.data);
+}
+
+static void
+read_number(struct entry_settings *settings, const struct field *field,
+    JsonObject *object, GPtrArray *faults)
+{
+	double value = wv_json_number(object, field->name, -1);
+
+	if (!(value >= field->least && value <= field->most)) {
+		g_ptr_array_add(faults,
+		    g_strdup_printf("$.%s: a number from %g to %g is needed",
+			field->name, field->least, field->most));
+		return;
+	}
+	*(double *)((char *)settings + field->offset) = value;
+}
+
+static void
+read_fields(
+    struct entry_settings *settings, JsonObject *object, GPtrArray *faults)
+{
+	GList *members = json_object_get_members(object);
+
+	for (GList *item = members; item != NULL; item = item->next) {
+		if (find_field(item->data) == NULL)
+			add_fault(faults, item->data, "unknown field");
+	}
+	g_list_free(members);
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		if (fields[i].kind == FIELD_NUMBER)
+			read_number(settings, &fields[i], object, faults);
+		else
+			read_text(settings, &fields[i], object, faults);
+	}
+}
+
+struct entry_settings *
+entry_settings_parse(struct wv_string json, GPtrArray *faults)
+{
+	struct wv_status status = {0};
+	JsonNode *root = wv_json_parse(json, &status);
+	struct entry_settings *settings;
+	guint before = faults->len;
+
+	if (root == NULL) {
+		g_ptr_array_add(
+		    faults, g_strdup_printf("$: %s", status.message));
+		return NULL;
+	}
+	settings = g_new0(struct entry_settings, 1);
+	read_fields(settings, json_node_get_object(root), faults);
+	json_node_unref(root);
+	if (faults->len == before)
+		return settings;
+	entry_settings_destroy(settings);
+	return NULL;
+}
+
+struct entry_settings *
+entry_settings_read(const char *file, GPtrArray *faults)
+{
+	struct entry_settings *settings;
+	struct wv_string json = {NULL, 0};
+	GError *error = NULL;
+
+	if (!g_file_get_contents(file, &json.data, &json.length, &error)) {
+		g_ptr_array_add(faults, g_strdup(error->message));
+		g_error_free(error);
+		return NULL;
+	}
+	settings = entry_settings_parse(json, faults);
+	g_free(json.data);
+	return settings;
+}
+
+void
+entry_settings_destroy(struct entry_settings *settings)
+{
+	if (settings == NULL)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		if (fields[i].kind != FIELD_NUMBER)
+			g_free(*(char **)((char *)settings + fields[i].offset));
+	}
+	g_free(settings);
+}
--- /dev/null
+++ b/src/dispatch_pick.c
@@ -0,0 +1,121 @@
+/**
+ * @file
+ * The choice among the searchers of a service.
+ */
+#include "src/dispatch_private.h"
+
+/** Cost factor of a searcher in this VM's zone. */
+#define NEAR_FACTOR 0.8
+/** Random part of a cost, so that VMs don't all choose the same searcher. */
+#define JITTER 0.1
+/** Added cost of a searcher that has an overdue request. */
+#define OVERDUE_COST 100.0
+
+/* A xorshift generator; returns a number from 0 to 1. */
+static double
+random_part(struct wv_dispatch *dispatch)
+{
+	uint64_t x = dispatch->random;
+
+	x ^= x << 13;
+	x ^= x >> 7;
+	x ^= x << 17;
+	dispatch->random = x;
+	return (double)(x >> 11) / (double)(UINT64_C(1) << 53);
+}
+
+/* Most attempts at a searcher at once: this VM's part of its connections. */
+static unsigned
+connection_share(
+    const struct wv_dispatch *dispatch, const struct wv_fleet_service *service)
+{
+	return MAX(service->connections / dispatch->terms.vms, 1);
+}
+
+static bool
+was_tried(const struct wv_shard *shard, const struct wv_searcher *searcher)
+{
+	for (unsigned i = 0; i < shard->n_tried; i++) {
+		if (shard->tried[i] == searcher)
+			return true;
+	}
+	return false;
+}
+
+static bool
+has_overdue(const struct wv_searcher *searcher, wv_msec now)
+{
+	const struct wv_attempt *attempt;
+
+	for (attempt = searcher->first_attempt; attempt != NULL;
+	     attempt = attempt->next) {
+		if (now > attempt->due_at)
+			return true;
+	}
+	return false;
+}
+
+static double
+cost(struct wv_dispatch *dispatch, wv_msec now,
+    const struct wv_searcher *searcher)
+{
+	double load = (double)searcher->outstanding / searcher->slots;
+	double result = wv_view_cost(&searcher->view, now, load);
+
+	if (searcher->near)
+		result *= NEAR_FACTOR;
+	if (has_overdue(searcher, now))
+		result += OVERDUE_COST;
+	return result * (1 + JITTER * random_part(dispatch));
+}
+
+struct wv_searcher *
+dispatch_pick(struct wv_dispatch *dispatch, wv_msec now,
+    const struct wv_shard *shard, enum purpose purpose)
+{
+	const struct wv_fleet_service *service = shard->service;
+	unsigned share = connection_share(dispatch, service);
+	bool idempotent = shard->task->route->idempotent;
+	struct wv_searcher *best = NULL;
+	struct wv_searcher *probe = NULL;
+	double least = 0;
+
+	for (guint i = 0; i < service->searchers->len; i++) {
+		struct wv_searcher *searcher = service->searchers->pdata[i];
+		double c;
+
+		if (searcher->draining || searcher->outstanding >= share ||
+		    was_tried(shard, searcher) ||
+		    !wv_view_usable(&searcher->view, now))
+			continue;
+		if (searcher->view.lost) {
+			probe = searcher;
+			continue;
+		}
+		c = cost(dispatch, now, searcher);
+		if (purpose == PURPOSE_HEDGE && c >= OVERDUE_COST)
+			continue;
+		if (best == NULL || c < least) {
+			best = searcher;
+			least = c;
+		}
+	}
+	/* A lost searcher is probed by requests that may be repeated. */
+	if (probe != NULL && purpose == PURPOSE_FIRST &&
+	    (best == NULL || (idempotent && shard->task->extra == 0)))
+		return probe;
+	return best;
+}
+
+bool
+dispatch_reachable(const struct wv_fleet_service *service, wv_msec now)
+{
+	for (guint i = 0; i < service->searchers->len; i++) {
+		const struct wv_searcher *searcher =
+		    service->searchers->pdata[i];
+
+		if (!searcher->draining && wv_view_usable(&searcher->view, now))
+			return true;
+	}
+	return false;
+}
--- a/src/executor.c
+++ b/src/executor.c
@@ -381,7 +381,7 @@
 static void
 timer_due(struct wv_executor *executor, wv_msec now, struct timer *timer)
 {
-	switch (timer->kind) {
+	switch ((enum timer_kind)timer->kind) {
 	case TIMER_QUERY:
 		wv_query_expire(
 		    executor, now, CONTAINER(timer, struct query, timer));
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,263 @@
+/**
+ * @file
+ * The table of searchers.
+ */
+#include "src/private.h"
+#include "wisteriavane/fleet.h"
+
+struct wv_fleet {
+	struct wv_fleet_ops *ops;
+	struct wv_string zone; /* owned */
+	GHashTable *searchers; /* by id; values are not owned */
+	GHashTable *services; /* by name; values are owned */
+	GHashTable *listed; /* ids of the list in progress, or NULL */
+	wv_msec grace_until;
+	wv_msec next; /* earliest missing_until */
+};
+
+static void
+service_destroy(gpointer data)
+{
+	struct wv_fleet_service *service = data;
+
+	wv_string_clear(&service->name);
+	g_ptr_array_unref(service->searchers);
+	g_queue_clear(&service->waiting);
+	g_free(service);
+}
+
+struct wv_fleet *
+wv_fleet_create(struct wv_string zone, struct wv_fleet_ops *ops)
+{
+	struct wv_fleet *fleet = g_new0(struct wv_fleet, 1);
+
+	fleet->ops = ops;
+	fleet->zone = wv_string_copy(zone);
+	fleet->searchers =
+	    g_hash_table_new(wv_string_key_hash, wv_string_key_equal);
+	fleet->services = g_hash_table_new_full(
+	    wv_string_key_hash, wv_string_key_equal, NULL, service_destroy);
+	fleet->grace_until = -WV_MSEC_NEVER;
+	fleet->next = WV_MSEC_NEVER;
+	return fleet;
+}
+
+static void
+searcher_free(struct wv_fleet *fleet, struct wv_searcher *searcher)
+{
+	fleet->ops->release(fleet->ops, searcher);
+	wv_string_clear(&searcher->id);
+	wv_string_clear(&searcher->address);
+	wv_string_clear(&searcher->zone);
+	g_free(searcher);
+}
+
+void
+wv_fleet_destroy(struct wv_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer searcher;
+
+	g_hash_table_iter_init(&iter, fleet->searchers);
+	while (g_hash_table_iter_next(&iter, NULL, &searcher))
+		searcher_free(fleet, searcher);
+	g_hash_table_unref(fleet->searchers);
+	g_hash_table_unref(fleet->services);
+	if (fleet->listed != NULL)
+		g_hash_table_unref(fleet->listed);
+	wv_string_clear(&fleet->zone);
+	g_free(fleet);
+}
+
+struct wv_fleet_service *
+wv_fleet_service(struct wv_fleet *fleet, struct wv_string name)
+{
+	struct wv_fleet_service *service =
+	    g_hash_table_lookup(fleet->services, &name);
+
+	if (service != NULL)
+		return service;
+	service = g_new0(struct wv_fleet_service, 1);
+	service->name = wv_string_copy(name);
+	service->searchers = g_ptr_array_new();
+	g_queue_init(&service->waiting);
+	g_hash_table_insert(fleet->services, &service->name, service);
+	return service;
+}
+
+struct wv_searcher *
+wv_fleet_find(struct wv_fleet *fleet, struct wv_string id)
+{
+	return g_hash_table_lookup(fleet->searchers, &id);
+}
+
+/* Takes a searcher out of the table; its attempts may go on. */
+static void
+take_out(struct wv_fleet *fleet, struct wv_searcher *searcher)
+{
+	g_hash_table_remove(fleet->searchers, &searcher->id);
+	g_ptr_array_remove_fast(searcher->service->searchers, searcher);
+	searcher->gone = true;
+	if (searcher->outstanding == 0)
+		searcher_free(fleet, searcher);
+}
+
+static void
+add(struct wv_fleet *fleet, wv_msec now, const struct wv_searcher_entry *entry)
+{
+	struct wv_searcher *searcher = g_new0(struct wv_searcher, 1);
+
+	searcher->id = wv_string_copy(entry->id);
+	searcher->address = wv_string_copy(entry->address);
+	searcher->zone = wv_string_copy(entry->zone);
+	searcher->service = wv_fleet_service(fleet, entry->service);
+	searcher->started = entry->started;
+	searcher->slots = MAX(entry->slots, 1);
+	searcher->draining = entry->draining;
+	searcher->near = wv_string_equal(entry->zone, fleet->zone);
+	wv_view_reset(&searcher->view, now, entry->cold_left);
+	g_hash_table_insert(fleet->searchers, &searcher->id, searcher);
+	g_ptr_array_add(searcher->service->searchers, searcher);
+}
+
+/* Whether the entry tells of the incarnation that is known. */
+static bool
+is_same(
+    const struct wv_searcher *searcher, const struct wv_searcher_entry *entry)
+{
+	return searcher->started == entry->started &&
+	    wv_string_equal(searcher->address, entry->address) &&
+	    wv_string_equal(searcher->service->name, entry->service);
+}
+
+bool
+wv_fleet_put(
+    struct wv_fleet *fleet, wv_msec now, const struct wv_searcher_entry *entry)
+{
+	struct wv_searcher *searcher = wv_fleet_find(fleet, entry->id);
+
+	if (fleet->listed != NULL && searcher != NULL)
+		g_hash_table_add(fleet->listed, searcher);
+	if (searcher != NULL && entry->started < searcher->started)
+		return false;
+	if (searcher != NULL && is_same(searcher, entry)) {
+		bool changed = searcher->draining != entry->draining;
+
+		searcher->missing_until = 0;
+		searcher->draining = entry->draining;
+		searcher->slots = MAX(entry->slots, 1);
+		return changed;
+	}
+	if (searcher != NULL)
+		take_out(fleet, searcher);
+	add(fleet, now, entry);
+	if (fleet->listed != NULL)
+		g_hash_table_add(
+		    fleet->listed, wv_fleet_find(fleet, entry->id));
+	return true;
+}
+
+static void
+miss(struct wv_fleet *fleet, wv_msec now, struct wv_searcher *searcher)
+{
+	if (now >= fleet->grace_until) {
+		take_out(fleet, searcher);
+		return;
+	}
+	if (searcher->missing_until == 0)
+		searcher->missing_until = fleet->grace_until;
+	fleet->next = MIN(fleet->next, searcher->missing_until);
+}
+
+bool
+wv_fleet_remove(struct wv_fleet *fleet, wv_msec now, struct wv_string id)
+{
+	struct wv_searcher *searcher = wv_fleet_find(fleet, id);
+
+	if (searcher == NULL)
+		return false;
+	miss(fleet, now, searcher);
+	return true;
+}
+
+void
+wv_fleet_list_begin(struct wv_fleet *fleet)
+{
+	if (fleet->listed != NULL)
+		g_hash_table_unref(fleet->listed);
+	fleet->listed = g_hash_table_new(NULL, NULL);
+}
+
+void
+wv_fleet_list_end(struct wv_fleet *fleet, wv_msec now)
+{
+	GList *all = g_hash_table_get_values(fleet->searchers);
+
+	for (GList *item = all; item != NULL; item = item->next) {
+		if (!g_hash_table_contains(fleet->listed, item->data))
+			miss(fleet, now, item->data);
+	}
+	g_list_free(all);
+	g_hash_table_unref(fleet->listed);
+	fleet->listed = NULL;
+}
+
+void
+wv_fleet_store_back(struct wv_fleet *fleet, wv_msec now, wv_msec grace)
+{
+	fleet->grace_until = now + grace;
+}
+
+void
+wv_fleet_tick(struct wv_fleet *fleet, wv_msec now)
+{
+	GList *all;
+
+	if (now < fleet->next)
+		return;
+	fleet->next = WV_MSEC_NEVER;
+	all = g_hash_table_get_values(fleet->searchers);
+	for (GList *item = all; item != NULL; item = item->next) {
+		struct wv_searcher *searcher = item->data;
+
+		if (searcher->missing_until == 0)
+			continue;
+		if (now >= searcher->missing_until)
+			take_out(fleet, searcher);
+		else
+			fleet->next = MIN(fleet->next, searcher->missing_until);
+	}
+	g_list_free(all);
+}
+
+wv_msec
+wv_fleet_next(const struct wv_fleet *fleet)
+{
+	return fleet->next;
+}
+
+void
+wv_fleet_release(struct wv_fleet *fleet, struct wv_searcher *searcher)
+{
+	searcher->outstanding--;
+	if (searcher->gone && searcher->outstanding == 0)
+		searcher_free(fleet, searcher);
+}
+
+size_t
+wv_fleet_size(const struct wv_fleet *fleet)
+{
+	return g_hash_table_size(fleet->searchers);
+}
+
+void
+wv_fleet_visit(const struct wv_fleet *fleet,
+    void (*visit)(void *data, struct wv_searcher *searcher), void *data)
+{
+	GHashTableIter iter;
+	gpointer searcher;
+
+	g_hash_table_iter_init(&iter, fleet->searchers);
+	while (g_hash_table_iter_next(&iter, NULL, &searcher))
+		visit(data, searcher);
+}
--- /dev/null
+++ b/src/routes.c
@@ -0,0 +1,134 @@
+/**
+ * @file
+ * Route tables.
+ */
+#include <string.h>
+
+#include "src/private.h"
+#include "wisteriavane/routes.h"
+
+/** Longest host name, in bytes. */
+#define HOST_MAX 255
+
+static void
+route_clear(struct wv_route *route)
+{
+	wv_string_clear(&route->name);
+	wv_string_clear(&route->host);
+	wv_string_clear(&route->prefix);
+	for (size_t i = 0; i < route->n_services; i++)
+		wv_string_clear(&route->services[i]);
+	g_free(route->services);
+	g_free(route->weights);
+}
+
+static void
+routes_destroy(struct wv_routes *routes)
+{
+	for (size_t i = 0; i < routes->n_routes; i++)
+		route_clear(&routes->routes[i]);
+	for (size_t i = 0; i < routes->n_services; i++)
+		wv_string_clear(&routes->services[i].name);
+	if (routes->by_host != NULL)
+		g_hash_table_unref(routes->by_host);
+	g_free(routes->routes);
+	g_free(routes->services);
+	g_free(routes);
+}
+
+struct wv_routes *
+wv_routes_create(uint64_t version, size_t n_routes, size_t n_services)
+{
+	struct wv_routes *routes = g_new0(struct wv_routes, 1);
+
+	routes->references = 1;
+	routes->version = version;
+	routes->routes = g_new0(struct wv_route, n_routes);
+	routes->n_routes = n_routes;
+	routes->services = g_new0(struct wv_route_service, n_services);
+	routes->n_services = n_services;
+	return routes;
+}
+
+/* Longer prefixes first, so that the first match is the longest. */
+static gint
+compare_prefixes(gconstpointer a, gconstpointer b)
+{
+	const struct wv_route *first = *(const struct wv_route *const *)a;
+	const struct wv_route *second = *(const struct wv_route *const *)b;
+
+	if (first->prefix.length == second->prefix.length)
+		return 0;
+	return first->prefix.length > second->prefix.length ? -1 : 1;
+}
+
+void
+wv_routes_index(struct wv_routes *routes)
+{
+	GHashTable *by_host = g_hash_table_new_full(wv_string_key_hash,
+	    wv_string_key_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+	GHashTableIter iter;
+	gpointer list;
+
+	for (size_t i = 0; i < routes->n_routes; i++) {
+		struct wv_route *route = &routes->routes[i];
+		GPtrArray *same = g_hash_table_lookup(by_host, &route->host);
+
+		if (same == NULL) {
+			same = g_ptr_array_new();
+			g_hash_table_insert(by_host, &route->host, same);
+		}
+		g_ptr_array_add(same, route);
+	}
+	g_hash_table_iter_init(&iter, by_host);
+	while (g_hash_table_iter_next(&iter, NULL, &list))
+		g_ptr_array_sort(list, compare_prefixes);
+	routes->by_host = by_host;
+}
+
+struct wv_routes *
+wv_routes_ref(struct wv_routes *routes)
+{
+	routes->references++;
+	return routes;
+}
+
+void
+wv_routes_unref(struct wv_routes *routes)
+{
+	if (routes != NULL && --routes->references == 0)
+		routes_destroy(routes);
+}
+
+/* Copies a host in lower case and without its port. */
+static struct wv_string
+normalize_host(struct wv_string host, char copy[HOST_MAX])
+{
+	struct wv_string name = {copy, 0};
+
+	while (name.length < host.length && name.length < HOST_MAX &&
+	    host.data[name.length] != ':') {
+		copy[name.length] = g_ascii_tolower(host.data[name.length]);
+		name.length++;
+	}
+	return name;
+}
+
+const struct wv_route *
+wv_routes_find(const struct wv_routes *routes, struct wv_string host,
+    struct wv_string path)
+{
+	char copy[HOST_MAX];
+	struct wv_string name = normalize_host(host, copy);
+	GPtrArray *same = g_hash_table_lookup(routes->by_host, &name);
+
+	for (guint i = 0; same != NULL && i < same->len; i++) {
+		const struct wv_route *route = same->pdata[i];
+
+		if (route->prefix.length <= path.length &&
+		    memcmp(route->prefix.data, path.data,
+			route->prefix.length) == 0)
+			return route;
+	}
+	return NULL;
+}
--- a/src/timers.h
+++ b/src/timers.h
@@ -7,7 +7,7 @@
 
 #include "wisteriavane/types.h"
 
-/** What a timer is embedded in. */
+/** What a timer of an executor is embedded in. */
 enum timer_kind {
 	TIMER_QUERY, /**< deadline of a query */
 	TIMER_ATTEMPT, /**< hedge, or end of the slot's use */
@@ -19,7 +19,7 @@
 struct timer {
 	wv_msec at;
 	size_t position; /**< place in the heap plus 1; 0 if not set */
-	enum timer_kind kind;
+	int kind; /**< what it is embedded in, for the owner */
 };
 
 /** Timers ordered by time. Zero-initialize it. */
