--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,8 +4,8 @@
  */
 #include "entry/entry.h"
 
-/** How long the VMs that the store lists count before they are heard, ms. */
-#define START_UP 5000.0
+/** VMs that are assumed while the store has not listed them. */
+#define VMS_UNLISTED 16
 
 wv_msec
 entry_now(struct entry *entry)
@@ -41,17 +41,17 @@
 entry_set_terms(struct entry *entry)
 {
 	const struct entry_settings *settings = entry->settings;
-	wv_msec now = entry_now(entry);
+	unsigned vms = 1 + wv_peers_count(entry->peers);
 	wv_msec window = settings->retry_window_s * 1000;
 	struct wv_dispatch_terms terms = {
 	    .allowance =
 		{
 		    .ratio = settings->retry_ratio,
-		    .slack = settings->retry_slack,
+		    .slack = entry->vms_listed ? settings->retry_slack : 0,
 		    .window = window,
 		    .slack_from = entry->started_at + window,
 		},
-	    .vms = 1 + wv_peers_count(entry->peers, now),
+	    .vms = entry->vms_listed ? vms : MAX(vms, VMS_UNLISTED),
 	};
 
 	wv_dispatch_set_terms(entry->dispatch, &terms);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -45,6 +45,7 @@
 	wv_msec started_at;
 	uint64_t incarnation; /**< Unix time of the start, ms */
 	bool searchers_known; /**< the first list has arrived */
+	bool vms_listed; /**< the store has listed the VMs */
 	bool stopping;
 	wv_msec stop_at; /**< stopping: when it began */
 };
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -231,12 +231,31 @@
 
 static const struct server_ops server_ops = {on_request, on_left, on_refused};
 
+static void
+log_repeat(struct entry *entry, const struct call *call,
+    const struct wv_attempt *attempt)
+{
+	char text[LOG_TEXT];
+
+	log_line(entry->log, LOG_DETAIL, "attempt_repeated",
+	    "\"id\":\"%s\",\"service\":\"%s\",\"searcher\":\"%s\","
+	    "\"elapsed_ms\":%.1f,\"window_first\":%u,\"window_extra\":%u",
+	    log_escape(call->request.id, text, sizeof(text)),
+	    attempt->searcher->service->name.data, attempt->searcher->id.data,
+	    attempt->sent_at - attempt->task->arrived,
+	    attempt->searcher->service->allowance.first_total,
+	    attempt->searcher->service->allowance.extra_total);
+}
+
 static void
 send_attempt(struct wv_dispatch_ops *ops, struct wv_attempt *attempt)
 {
+	struct entry *entry = gateway_of(ops)->entry;
 	struct call *call = attempt->task->caller;
 
-	upstream_send(gateway_of(ops)->entry, attempt, &call->request);
+	if (attempt->extra)
+		log_repeat(entry, call, attempt);
+	upstream_send(entry, attempt, &call->request);
 }
 
 static void
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -32,6 +32,7 @@
 	PHASE_LIST, /* reads the list */
 	PHASE_WATCH, /* waits for changes */
 	PHASE_CREATE, /* creates this VM's entry */
+	PHASE_REPLACE, /* replaces an entry of this VM's name */
 	PHASE_DONE /* nothing more to do */
 };
 
@@ -60,6 +61,21 @@
 
 static void call(struct follower *follower);
 
+static const char *
+method_of(const struct follower *follower)
+{
+	if (follower->phase == PHASE_CREATE)
+		return "POST";
+	return follower->phase == PHASE_REPLACE ? "PUT" : "GET";
+}
+
+static bool
+is_write(const struct follower *follower)
+{
+	return follower->phase == PHASE_CREATE ||
+	    follower->phase == PHASE_REPLACE;
+}
+
 static void
 set_timer(struct follower *follower, wv_msec delay)
 {
@@ -215,7 +231,8 @@
 	restart_list(follower);
 	if (follower->kind == STORE_VMS) {
 		follower->phase =
-		    follower->found_self ? PHASE_DONE : PHASE_CREATE;
+		    follower->found_self ? PHASE_DONE : PHASE_REPLACE;
+		entry->vms_listed = true;
 		entry_set_terms(entry);
 		return;
 	}
@@ -276,8 +293,13 @@
 static bool
 take_answer(struct follower *follower, const struct message *answer)
 {
+	/* Of two VMs that start at once, the later one lists the other. */
 	if (follower->phase == PHASE_CREATE &&
 	    (answer->status == 409 || answer->status / 100 == 2)) {
+		follower->phase = PHASE_LIST;
+		return true;
+	}
+	if (follower->phase == PHASE_REPLACE && answer->status / 100 == 2) {
 		follower->phase = PHASE_DONE;
 		return true;
 	}
@@ -285,7 +307,8 @@
 		restart_list(follower);
 		return true;
 	}
-	return answer->status == 200 && take_body(follower, answer);
+	return answer->status == 200 && !is_write(follower) &&
+	    take_body(follower, answer);
 }
 
 static bool
@@ -339,6 +362,9 @@
 	case PHASE_WATCH:
 		return dialect->watch_path(
 		    follower->kind, follower->revision, WATCH_WAIT);
+	case PHASE_REPLACE:
+		return dialect->object_path(
+		    follower->kind, follower->sync->entry->settings->vm);
 	case PHASE_CREATE:
 	case PHASE_DONE:
 		break;
@@ -364,21 +390,20 @@
 call(struct follower *follower)
 {
 	struct entry *entry = follower->sync->entry;
-	bool create = follower->phase == PHASE_CREATE;
 	struct wv_string body = body_of(follower);
 	char *path = path_of(follower);
 	GString *request = g_string_new(NULL);
 	struct wv_string bytes;
 
 	g_string_append_printf(request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-	    create ? "POST" : "GET", path, entry->settings->store);
-	if (create)
+	    method_of(follower), path, entry->settings->store);
+	if (is_write(follower))
 		g_string_append_printf(request,
 		    "Content-Type: application/json\r\n"
 		    "Content-Length: %zu\r\n",
 		    body.length);
 	g_string_append(request, "\r\n");
-	if (create)
+	if (is_write(follower))
 		g_string_append_len(request, body.data, (gssize)body.length);
 	if (follower->client == NULL)
 		follower->client = client_create(
@@ -417,6 +442,7 @@
 
 		follower->sync = sync;
 		follower->kind = (enum store_kind)i;
+		follower->phase = i == STORE_VMS ? PHASE_CREATE : PHASE_LIST;
 		follower->backoff = BACKOFF_FIRST;
 		follower->timer =
 		    event_new(entry->base, -1, 0, on_timer, follower);
--- a/src/peers.c
+++ b/src/peers.c
@@ -7,9 +7,10 @@
 
 /** Silence after which a VM is no longer named to callers, ms. */
 #define ALIVE_FOR 1000.0
-/** Silence after which its connections at searchers have ended, ms. */
-#define COUNTED_FOR 15000.0
-/** Silence after which it gets no reports any more, ms. */
+/**
+ * Silence after which a VM is forgotten, ms. Until then it counts: it may be
+ * cut off from here and still use its part of what is divided.
+ */
 #define KEPT_FOR 120000.0
 /** Every which round a silent VM gets a report. */
 #define SILENT_EVERY 4
@@ -180,23 +181,10 @@
 	}
 }
 
-static unsigned
-count(const struct wv_peers *peers, wv_msec now, wv_msec within)
-{
-	GHashTableIter iter;
-	unsigned n = 0;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, peers->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		n += now - ((const struct peer *)value)->heard_at <= within;
-	return n;
-}
-
 unsigned
-wv_peers_count(const struct wv_peers *peers, wv_msec now)
+wv_peers_count(const struct wv_peers *peers)
 {
-	return count(peers, now, COUNTED_FOR);
+	return g_hash_table_size(peers->table);
 }
 
 unsigned
--- a/wisteriavane/peers.h
+++ b/wisteriavane/peers.h
@@ -50,8 +50,11 @@
 /** Adds the addresses that reports are sent to. Borrowed. */
 void wv_peers_targets(struct wv_peers *peers, wv_msec now, GPtrArray *targets);
 
-/** Returns how many other VMs may hold connections to searchers. */
-unsigned wv_peers_count(const struct wv_peers *peers, wv_msec now);
+/**
+ * Returns how many other VMs may use their part of what is divided between
+ * all: also those that have been silent for a while.
+ */
+unsigned wv_peers_count(const struct wv_peers *peers);
 
 /** Returns how many other VMs are alive. */
 unsigned wv_peers_alive(const struct wv_peers *peers, wv_msec now);
