--- /dev/null
+++ b/test/test_gather.c
@@ -0,0 +1,106 @@
+/**
+ * @file
+ * Tests of the merge of parts.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "wisteriavane/gather.h"
+
+static struct wv_string
+records(const char *letters, size_t rest)
+{
+	size_t n = strlen(letters);
+	struct wv_string part = {g_malloc0(n * WV_RECORD_SIZE + rest + 1),
+	    n * WV_RECORD_SIZE + rest};
+
+	for (size_t i = 0; i < n; i++)
+		memset(part.data + i * WV_RECORD_SIZE, letters[i],
+		    WV_RECORD_SIZE);
+	memset(part.data + n * WV_RECORD_SIZE, 'z', rest);
+	return part;
+}
+
+static void
+check(const char *a, const char *b, size_t rest, size_t top_k,
+    const char *expected)
+{
+	struct wv_string parts[2] = {records(a, rest), records(b, 0)};
+	struct wv_string merged = wv_gather(parts, 2, top_k);
+
+	g_assert_cmpuint(
+	    merged.length, ==, strlen(expected) * WV_RECORD_SIZE);
+	for (size_t i = 0; i < strlen(expected); i++)
+		g_assert_cmpint(
+		    merged.data[i * WV_RECORD_SIZE], ==, expected[i]);
+	wv_string_clear(&parts[0]);
+	wv_string_clear(&parts[1]);
+	wv_string_clear(&merged);
+}
+
+static void
+test_order(void)
+{
+	check("acx", "bd", 0, 3, "xdc");
+	check("acx", "bd", 0, 10, "xdcba");
+	check("", "", 0, 3, "");
+	check("abc", "d", 0, 0, "");
+}
+
+static void
+test_equal_records(void)
+{
+	check("aab", "bba", 0, 4, "bbba");
+	check("bb", "bb", 0, 3, "bbb");
+}
+
+/* A rest that is shorter than a record is none. */
+static void
+test_rest(void)
+{
+	check("ab", "c", 15, 5, "cba");
+	check("", "c", 15, 5, "c");
+}
+
+static gint
+compare_falling(gconstpointer a, gconstpointer b)
+{
+	return memcmp(b, a, WV_RECORD_SIZE);
+}
+
+/* Bytes are compared as unsigned; against a plain sort. */
+static void
+test_against_sort(void)
+{
+	GRand *random = g_rand_new_with_seed(3);
+
+	for (int round = 0; round < 200; round++) {
+		size_t n = (size_t)g_rand_int_range(random, 0, 60);
+		size_t top_k = (size_t)g_rand_int_range(random, 1, 40);
+		struct wv_string all = records("", n * WV_RECORD_SIZE);
+		struct wv_string merged;
+
+		for (size_t i = 0; i < all.length; i++)
+			all.data[i] =
+			    (char)g_rand_int_range(random, 0, 256);
+		merged = wv_gather(&all, 1, top_k);
+		qsort(all.data, n, WV_RECORD_SIZE, compare_falling);
+		g_assert_cmpmem(merged.data, merged.length, all.data,
+		    MIN(n, top_k) * WV_RECORD_SIZE);
+		wv_string_clear(&all);
+		wv_string_clear(&merged);
+	}
+	g_rand_free(random);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gather/order", test_order);
+	g_test_add_func("/gather/equal", test_equal_records);
+	g_test_add_func("/gather/rest", test_rest);
+	g_test_add_func("/gather/sort", test_against_sort);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/test_message.c
@@ -0,0 +1,228 @@
+/**
+ * @file
+ * Tests of the HTTP parser: what is accepted, and what is refused since
+ * readers could understand it in different ways.
+ */
+#include <string.h>
+
+#include "entry/message.h"
+
+static enum parse_state
+feed_by(struct message_parser *parser, const char *text, size_t step,
+    size_t *used)
+{
+	size_t length = strlen(text);
+	enum parse_state state = PARSE_MORE;
+	size_t at = 0;
+
+	while (at < length && state == PARSE_MORE) {
+		size_t n = MIN(step, length - at);
+		size_t taken = 0;
+
+		state = message_parser_feed(parser, text + at, n, &taken);
+		at += taken;
+	}
+	*used = at;
+	return state;
+}
+
+static enum parse_state
+parse(struct message_parser *parser, enum http_parser_type type,
+    const char *text, size_t step)
+{
+	size_t used;
+
+	message_parser_init(parser, type, 1024, 64);
+	return feed_by(parser, text, step, &used);
+}
+
+static void
+check_refused(const char *text)
+{
+	struct message_parser parser;
+
+	for (size_t step = 1; step <= strlen(text); step += 7) {
+		if (parse(&parser, HTTP_REQUEST, text, step) != PARSE_FAULT)
+			g_error("not refused: %s", text);
+		message_parser_clear(&parser);
+	}
+}
+
+static void
+test_request(void)
+{
+	static const char text[] = "POST /a/b?c=1 HTTP/1.1\r\n"
+				   "Host: h\r\nX-Two: a  \r\nX-Two: b\r\n"
+				   "Content-Length: 5\r\n\r\nhello";
+	struct message_parser parser;
+	struct message *message;
+	struct wv_string value;
+
+	for (size_t step = 1; step < sizeof(text); step++) {
+		g_assert_cmpint(parse(&parser, HTTP_REQUEST, text, step), ==,
+		    PARSE_COMPLETE);
+		message = message_parser_take(&parser);
+		g_assert_cmpuint(message_find(message, "x-two", &value), ==, 2);
+		g_assert_cmpuint(value.length, ==, 1);
+		g_assert_cmpstr(message->body->str, ==, "hello");
+		g_assert_cmpuint(message_target(message).length, ==, 8);
+		g_assert_true(message->keep_alive);
+		message_destroy(message);
+	}
+}
+
+static void
+test_chunked(void)
+{
+	static const char text[] =
+	    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+	struct message_parser parser;
+
+	for (size_t step = 1; step < sizeof(text); step++) {
+		g_assert_cmpint(parse(&parser, HTTP_REQUEST, text, step), ==,
+		    PARSE_COMPLETE);
+		g_assert_cmpstr(parser.message->body->str, ==, "abcde");
+		message_parser_clear(&parser);
+	}
+}
+
+/* The bytes of a second request are left to the next message. */
+static void
+test_pipelined(void)
+{
+	static const char text[] = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+				   "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct message_parser parser;
+	size_t used;
+	size_t rest;
+
+	message_parser_init(&parser, HTTP_REQUEST, 1024, 64);
+	g_assert_cmpint(feed_by(&parser, text, sizeof(text), &used), ==,
+	    PARSE_COMPLETE);
+	g_assert_cmpuint(used, ==, (sizeof(text) - 1) / 2);
+	message_parser_next(&parser, false);
+	g_assert_cmpint(feed_by(&parser, text + used, 5, &rest), ==,
+	    PARSE_COMPLETE);
+	g_assert_cmpint(message_target(parser.message).data[1], ==, '2');
+	message_parser_clear(&parser);
+}
+
+static void
+test_refused(void)
+{
+	check_refused("GET / HTTP/1.1\nHost: h\r\n\r\n");
+	check_refused("GET / HTTP/1.1\r\nHost: h\n\r\n");
+	check_refused("GET / HTTP/1.1\r\nHost: h\r\n folded\r\n\r\n");
+	check_refused("GET / HTTP/1.1\r\nHost : h\r\n\r\n");
+	check_refused("GET / HTTP/1.1\r\nX: a\rb\r\n\r\n");
+	check_refused("GET / HTTP/1.1\r\nX: a\x01"
+		      "b\r\n\r\n");
+	check_refused("POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+		      "Content-Length: 1\r\n\r\na");
+	check_refused("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	check_refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+	check_refused("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n");
+	check_refused("POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\na");
+	check_refused("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\na");
+	check_refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		      "zz\r\nabc\r\n");
+	check_refused("nonsense\r\n\r\n");
+}
+
+static void
+test_limits(void)
+{
+	struct message_parser parser;
+	GString *text = g_string_new("GET / HTTP/1.1\r\n");
+
+	while (text->len <= 1024)
+		g_string_append(text, "X: yyyyyyyyyyyyyyyy\r\n");
+	g_string_append(text, "\r\n");
+	g_assert_cmpint(parse(&parser, HTTP_REQUEST, text->str, 100), ==,
+	    PARSE_FAULT);
+	g_assert_cmpint(parser.fault, ==, MESSAGE_HEADER_TOO_LARGE);
+	message_parser_clear(&parser);
+	g_string_free(text, TRUE);
+	g_assert_cmpint(parse(&parser, HTTP_REQUEST,
+			    "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+			    9),
+	    ==, PARSE_FAULT);
+	g_assert_cmpint(parser.fault, ==, MESSAGE_BODY_TOO_LARGE);
+	message_parser_clear(&parser);
+}
+
+static void
+test_answer_until_close(void)
+{
+	struct message_parser parser;
+
+	g_assert_cmpint(parse(&parser, HTTP_RESPONSE,
+			    "HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc", 4),
+	    ==, PARSE_MORE);
+	g_assert_cmpint(message_parser_end(&parser), ==, PARSE_COMPLETE);
+	g_assert_true(parser.message->until_close);
+	g_assert_cmpstr(parser.message->body->str, ==, "abc");
+	message_parser_clear(&parser);
+	g_assert_cmpint(
+	    parse(&parser, HTTP_RESPONSE,
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", 4),
+	    ==, PARSE_MORE);
+	g_assert_cmpint(message_parser_end(&parser), ==, PARSE_FAULT);
+	message_parser_clear(&parser);
+	g_assert_cmpint(
+	    parse(&parser, HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nX:", 4), ==,
+	    PARSE_MORE);
+	g_assert_cmpint(message_parser_end(&parser), ==, PARSE_FAULT);
+	message_parser_clear(&parser);
+}
+
+static void
+test_hop_fields(void)
+{
+	static const char text[] =
+	    "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\n"
+	    "X-Other: 2\r\nTE: trailers\r\n\r\n";
+	struct message_parser parser;
+
+	g_assert_cmpint(
+	    parse(&parser, HTTP_REQUEST, text, 500), ==, PARSE_COMPLETE);
+	g_assert_true(message_is_hop_field(parser.message, 0));
+	g_assert_true(message_is_hop_field(parser.message, 1));
+	g_assert_false(message_is_hop_field(parser.message, 2));
+	g_assert_true(message_is_hop_field(parser.message, 3));
+	g_assert_false(parser.message->keep_alive);
+	message_parser_clear(&parser);
+}
+
+static void
+test_number(void)
+{
+	uint64_t number;
+
+	g_assert_true(
+	    message_parse_number(wv_string_borrow("1500"), &number));
+	g_assert_cmpuint(number, ==, 1500);
+	g_assert_false(message_parse_number(wv_string_borrow(""), &number));
+	g_assert_false(
+	    message_parse_number(wv_string_borrow("+1"), &number));
+	g_assert_false(message_parse_number(
+	    wv_string_borrow("99999999999999999999"), &number));
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/message/request", test_request);
+	g_test_add_func("/message/chunked", test_chunked);
+	g_test_add_func("/message/pipelined", test_pipelined);
+	g_test_add_func("/message/refused", test_refused);
+	g_test_add_func("/message/limits", test_limits);
+	g_test_add_func("/message/until-close", test_answer_until_close);
+	g_test_add_func("/message/hop-fields", test_hop_fields);
+	g_test_add_func("/message/number", test_number);
+	return g_test_run();
+}
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -4,7 +4,8 @@
 
 PACKAGES="libapr1-dev libaprutil1-dev libmicrohttpd-dev libglib2.0-dev
 libjson-glib-dev liburcu-dev libprotobuf-c-dev protobuf-c-compiler
-libxxhash-dev libcurl4-gnutls-dev cmake ninja-build gcc clang-format
+libxxhash-dev libcurl4-gnutls-dev libevent-dev
+libhttp-parser-dev cmake ninja-build gcc clang-format
 clang-tidy valgrind pkg-config"
 
 missing=""
