--- a/entry/dialect.h
+++ b/entry/dialect.h
@@ -31,6 +31,7 @@
 struct store_page {
 	uint64_t revision; /**< watch from here */
 	bool more; /**< the list goes on after last_name */
+	bool after_outage; /**< from a VM: the store was away before */
 	char *last_name; /**< owned; NULL if there were no objects */
 };
 
@@ -38,6 +39,7 @@
 struct vm_entry {
 	struct wv_string name;
 	struct wv_string peers; /**< IP:PORT of its datagrams */
+	double capacity; /**< processor share, cores */
 };
 
 /** Names and codecs of a platform. */
@@ -64,6 +66,16 @@
 	/** Decodes a list, a set of changes or one object. */
 	bool (*decode)(struct wv_string body, struct store_page *page,
 	    store_visit visit, void *data, struct wv_status *status);
+	/** Part of the text of encode_changes() if the store was away. */
+	const char *outage_mark;
+	/** Parses a path of list_path() or watch_path(). */
+	bool (*parse_read)(struct wv_string target, enum store_kind *kind,
+	    bool *list, uint64_t *revision);
+	/** Encodes a change, for other VMs; the caller owns the text. */
+	char *(*encode_change)(const struct store_object *object);
+	/** Encodes an answer with changes; the caller owns the text. */
+	GString *(*encode_changes)(
+	    const GPtrArray *changes, uint64_t revision, bool after_outage);
 	/** Decodes routes; returns NULL if they can't be read. */
 	struct wv_routes *(*decode_routes)(
 	    const struct store_object *object, struct wv_status *status);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -2,15 +2,21 @@
  * @file
  * State that the parts of an entry VM share.
  */
+#include <math.h>
+
 #include "entry/entry.h"
 
-/** VMs that are assumed while the store has not listed them. */
-#define VMS_UNLISTED 16
+/** Divisor of connections while the store has not listed the VMs. */
+#define DIVISOR_UNLISTED 16.0
+/** Part of connections and slack for the VMs that callers are sent to. */
+#define PREFERRED_SHARE 0.8
+/** Part of the slack that is divided; views of the membership may differ. */
+#define SLACK_USED 0.7
 
 wv_msec
-entry_now(struct entry *entry)
+entry_now(const struct entry *entry)
 {
-	return wv_clock_now(&entry->clock);
+	return wv_clock_now((struct wv_clock *)&entry->clock);
 }
 
 bool
@@ -37,21 +43,37 @@
 	    routes->version, before, routes->n_routes);
 }
 
+/* The part of a fleet-wide number that this VM may use, as a divisor. */
+static double
+divisor(const struct wv_peer_standing *standing)
+{
+	if (standing->preferred == standing->vms)
+		return standing->vms;
+	if (standing->is_preferred)
+		return standing->preferred / PREFERRED_SHARE;
+	return (standing->vms - standing->preferred) / (1 - PREFERRED_SHARE);
+}
+
 void
 entry_set_terms(struct entry *entry)
 {
 	const struct entry_settings *settings = entry->settings;
-	unsigned vms = 1 + wv_peers_count(entry->peers);
 	wv_msec window = settings->retry_window_s * 1000;
+	struct wv_peer_standing standing = wv_peers_standing(
+	    entry->peers, entry_now(entry), store_sync_failed(entry->store));
+	double share = divisor(&standing);
 	struct wv_dispatch_terms terms = {
 	    .allowance =
 		{
 		    .ratio = settings->retry_ratio,
-		    .slack = entry->vms_listed ? settings->retry_slack : 0,
+		    .slack = entry->vms_listed
+			? settings->retry_slack * SLACK_USED / share
+			: 0,
 		    .window = window,
 		    .slack_from = entry->started_at + window,
 		},
-	    .vms = entry->vms_listed ? vms : MAX(vms, VMS_UNLISTED),
+	    .divisor =
+		entry->vms_listed ? share : fmax(share, DIVISOR_UNLISTED),
 	};
 
 	wv_dispatch_set_terms(entry->dispatch, &terms);
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -42,6 +42,7 @@
 	struct server *addresses;
 	struct server *readiness;
 	struct server *metrics_server;
+	struct server *changes; /**< serves changes to other VMs */
 	wv_msec started_at;
 	uint64_t incarnation; /**< Unix time of the start, ms */
 	bool searchers_known; /**< the first list has arrived */
@@ -51,7 +52,7 @@
 };
 
 /** Returns monotonic milliseconds. */
-wv_msec entry_now(struct entry *entry);
+wv_msec entry_now(const struct entry *entry);
 
 /** Returns whether requests can be served. */
 bool entry_is_ready(const struct entry *entry);
@@ -78,6 +79,19 @@
 /** @name Following the store */
 struct store_sync *store_sync_create(struct entry *entry);
 void store_sync_destroy(struct store_sync *sync);
+/** Returns the store's revision up to which a state is known; 0: none. */
+uint64_t store_sync_revision(
+    const struct store_sync *sync, enum wv_peer_state state);
+/** Returns whether a call of the store failed lately. */
+bool store_sync_failed(const struct store_sync *sync);
+/** Reads changes from a peer if it knows some that are not known here. */
+void store_sync_heard(
+    struct store_sync *sync, const uint64_t revisions[WV_PEER_STATES]);
+/** Begins or ends to follow the store itself, as the membership tells. */
+void store_sync_check(struct store_sync *sync);
+/** Answers a peer that asks for changes. */
+void store_sync_serve(struct store_sync *sync, struct server_conn *conn,
+    const struct message *message);
 
 /** @name Reports between VMs */
 struct reports *reports_create(struct entry *entry);
--- a/entry/main.c
+++ b/entry/main.c
@@ -95,10 +95,13 @@
 	struct entry *entry = data;
 	GString *fields = g_string_new("Content-Type: application/json\r\n");
 	GPtrArray *addresses = g_ptr_array_new();
+	struct wv_string own = {"", 0};
 	struct wv_string body;
 
-	wv_peers_addresses(entry->peers, entry_now(entry), addresses);
-	if ((entry_is_ready(entry) && !entry->stopping) || addresses->len == 0)
+	if (entry_is_ready(entry) && !entry->stopping)
+		own = wv_string_borrow(entry->settings->callers);
+	wv_peers_addresses(entry->peers, entry_now(entry), own, addresses);
+	if (addresses->len == 0)
 		g_ptr_array_add(addresses, entry->settings->callers);
 	wv_counter_add(&entry->metrics.address_answers, 1);
 	if (entry->dialect->is_address_query(message_target(message))) {
@@ -139,6 +142,15 @@
 	g_string_free(text, TRUE);
 }
 
+static void
+on_changes_query(
+    void *data, struct server_conn *conn, const struct message *message)
+{
+	struct entry *entry = data;
+
+	store_sync_serve(entry->store, conn, message);
+}
+
 static void
 ignore_left(void *data, struct server_conn *conn)
 {
@@ -155,6 +167,8 @@
     on_readiness_query, ignore_left, ignore_refused};
 static const struct server_ops metrics_ops = {
     on_metrics_query, ignore_left, ignore_refused};
+static const struct server_ops changes_ops = {
+    on_changes_query, ignore_left, ignore_refused};
 
 /* The process that runs, for handlers of signals and timers. */
 struct process {
@@ -267,9 +281,13 @@
 	    entry->base, settings->readiness, &readiness_ops, entry);
 	entry->metrics_server =
 	    server_create(entry->base, settings->metrics, &metrics_ops, entry);
+	entry->changes =
+	    server_create(entry->base, settings->peers, &changes_ops, entry);
 	if (entry->gateway == NULL || entry->addresses == NULL ||
-	    entry->readiness == NULL || entry->metrics_server == NULL)
+	    entry->readiness == NULL || entry->metrics_server == NULL ||
+	    entry->changes == NULL)
 		return false;
+	entry->store = store_sync_create(entry);
 	entry_set_terms(entry);
 	entry->reports = reports_create(entry);
 	return entry->reports != NULL;
@@ -285,7 +303,6 @@
 	process->reload = watch_signal(process, SIGHUP, on_reload);
 	process->stop_timer =
 	    event_new(entry->base, -1, 0, on_stop_timer, process);
-	entry->store = store_sync_create(entry);
 	log_line(entry->log, LOG_CHANGE, "started",
 	    "\"zone\":\"%s\",\"callers\":\"%s\",\"incarnation\":"
 	    "%" G_GUINT64_FORMAT,
@@ -304,6 +321,7 @@
 	server_destroy(entry->addresses);
 	server_destroy(entry->readiness);
 	server_destroy(entry->metrics_server);
+	server_destroy(entry->changes);
 	event_free(process->terminate);
 	event_free(process->interrupt);
 	event_free(process->reload);
@@ -334,7 +352,8 @@
 	metrics_init(&entry->metrics);
 	entry->log = log_create(entry->base, &entry->clock, STDOUT_FILENO,
 	    wv_string_borrow(entry->settings->vm));
-	entry->peers = wv_peers_create(wv_string_borrow(entry->settings->vm));
+	entry->peers = wv_peers_create(
+	    wv_string_borrow(entry->settings->vm), entry->settings->capacity);
 	if (!open_servers(entry)) {
 		fprintf(stderr, "cannot listen: %s\n", strerror(errno));
 		return EXIT_FAILURE;
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -11,8 +11,6 @@
 #include "entry/socket.h"
 #include "proto/vm_report.pb-c.h"
 
-/** Time between reports, ms. */
-#define INTERVAL 250
 /** Version of the datagrams. */
 #define PROTOCOL 1
 /** Longest datagram, bytes. */
@@ -45,8 +43,11 @@
 	report.serving = entry_is_ready(entry);
 	report.leaving = entry->stopping;
 	report.capacity = entry->settings->capacity;
-	report.routes_version =
-	    entry->routes == NULL ? 0 : entry->routes->version;
+	report.store_failed = store_sync_failed(entry->store);
+	report.routes_revision =
+	    store_sync_revision(entry->store, WV_PEER_ROUTES);
+	report.searchers_revision =
+	    store_sync_revision(entry->store, WV_PEER_SEARCHERS);
 	if (vm_report__get_packed_size(&report) > DATAGRAM_MOST)
 		return 0;
 	return vm_report__pack(&report, buffer);
@@ -87,11 +88,13 @@
 	    .serving = packed->serving,
 	    .leaving = packed->leaving,
 	    .capacity = packed->capacity,
-	    .routes_version = packed->routes_version,
+	    .store_failed = packed->store_failed,
+	    .revisions = {packed->routes_revision, packed->searchers_revision},
 	};
 
 	wv_peers_heard(entry->peers, entry_now(entry), &report);
 	wv_counter_add(&entry->metrics.reports_received, 1);
+	store_sync_heard(entry->store, report.revisions);
 }
 
 /* Whether a report can be used; anybody may send a datagram. */
@@ -146,11 +149,13 @@
 static void
 on_timer(evutil_socket_t fd, short what, void *data)
 {
-	struct timeval time = socket_timeval(INTERVAL);
 	struct reports *reports = data;
+	struct entry *entry = reports->entry;
+	struct timeval time = socket_timeval(wv_peers_interval(entry->peers));
 
 	log_membership(reports);
-	entry_set_terms(reports->entry);
+	entry_set_terms(entry);
+	store_sync_check(entry->store);
 	reports_send(reports);
 	event_add(reports->timer, &time);
 }
@@ -170,7 +175,7 @@
 	    event_new(entry->base, fd, EV_READ | EV_PERSIST, on_read, reports);
 	reports->timer = event_new(entry->base, -1, 0, on_timer, reports);
 	event_add(reports->read, NULL);
-	on_timer(-1, 0, reports);
+	event_active(reports->timer, EV_TIMEOUT, 0);
 	return reports;
 }
 
--- /dev/null
+++ b/entry/store_objects.c
@@ -0,0 +1,93 @@
+/**
+ * @file
+ * Objects of the store: what this VM takes from them.
+ */
+#include "entry/store_sync_private.h"
+
+static void
+take_routes(struct entry *entry, const struct store_object *object)
+{
+	struct wv_status status = {0};
+	struct wv_routes *routes;
+
+	if (object->deleted)
+		return;
+	routes = entry->dialect->decode_routes(object, &status);
+	if (routes == NULL) {
+		wv_counter_add(&entry->metrics.objects_unreadable, 1);
+		log_line(entry->log, LOG_CHANGE, "routes_unreadable",
+		    "\"name\":\"%s\",\"why\":\"%s\"", object->name.data,
+		    status.message);
+		return;
+	}
+	entry_take_routes(entry, routes);
+	wv_routes_unref(routes);
+}
+
+static void
+log_searcher(struct entry *entry, const struct wv_searcher_entry *searcher)
+{
+	log_line(entry->log, LOG_CHANGE, "searcher_changed",
+	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
+	    "\"draining\":%s,\"started_ms\":%" G_GUINT64_FORMAT,
+	    searcher->id.data, searcher->service.data, searcher->address.data,
+	    searcher->draining ? "true" : "false", searcher->started);
+}
+
+static void
+take_searcher(struct entry *entry, const struct store_object *object)
+{
+	struct wv_searcher_entry searcher;
+	struct wv_status status = {0};
+	wv_msec now = entry_now(entry);
+
+	if (object->deleted) {
+		if (wv_fleet_remove(entry->fleet, now, object->name))
+			log_line(entry->log, LOG_CHANGE, "searcher_missing",
+			    "\"searcher\":\"%s\"", object->name.data);
+		return;
+	}
+	if (!entry->dialect->decode_searcher(object, &searcher, &status)) {
+		wv_counter_add(&entry->metrics.objects_unreadable, 1);
+		wv_fleet_remove(entry->fleet, now, object->name);
+		log_line(entry->log, LOG_CHANGE, "searcher_unreadable",
+		    "\"searcher\":\"%s\",\"why\":\"%s\"", object->name.data,
+		    status.message);
+		return;
+	}
+	if (wv_fleet_put(entry->fleet, now, &searcher))
+		log_searcher(entry, &searcher);
+}
+
+static void
+take_vm(struct follower *follower, const struct store_object *object)
+{
+	struct entry *entry = follower->sync->entry;
+	struct vm_entry vm = {0};
+
+	if (object->deleted || !entry->dialect->decode_vm(object, &vm))
+		return;
+	if (wv_string_equal(vm.name, wv_string_borrow(entry->settings->vm)) &&
+	    wv_string_equal(vm.peers, wv_string_borrow(entry->settings->peers)))
+		follower->found_self = true;
+	wv_peers_introduce(
+	    entry->peers, entry_now(entry), vm.name, vm.peers, vm.capacity);
+}
+
+void
+store_take_object(void *data, const struct store_object *object)
+{
+	struct follower *follower = data;
+	struct entry *entry = follower->sync->entry;
+
+	if (follower->kind == STORE_VMS) {
+		take_vm(follower, object);
+		return;
+	}
+	wv_change_list_add(follower->list, object->name,
+	    entry->dialect->encode_change(object), object->deleted);
+	if (follower->kind == STORE_ROUTES)
+		take_routes(entry, object);
+	else
+		take_searcher(entry, object);
+}
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -1,81 +1,44 @@
 /**
  * @file
- * Follows the store: routes and searchers by a list and then by changes, the
- * other VMs by a list at the start.
+ * Follows the store. Each VM reads lists at its start; afterwards a few VMs
+ * wait for changes at the store, and the others read the changes from them.
  */
 #include <math.h>
 #include <string.h>
 
-#include "entry/client.h"
-#include "entry/entry.h"
 #include "entry/socket.h"
+#include "entry/store_sync_private.h"
 
 /**
- * How long a call waits for changes, ms. A call on a connection that has gone
- * silent is noticed after it, within the bound for changes of the routes.
+ * How long a call waits for changes, ms. That a connection has gone silent is
+ * noticed after it, and other VMs take over within the bound for changes.
  */
-#define WATCH_WAIT 4000
+#define WATCH_WAIT 1500
 /** Time for the answer of a call, beyond what it waits for, ms. */
-#define CALL_TIMEOUT 1500.0
+#define CALL_TIMEOUT 1000.0
 /** Time in which changes gather before the next call, ms. */
 #define GATHER 300.0
 /** First and longest delay after a failure, ms. */
 #define BACKOFF_FIRST 100.0
 #define BACKOFF_MOST 1000.0
+/** Calls that fail in a row before other VMs go first, and for how long, ms. */
+#define FAILURES_LEAST 2
+#define FAILED_FOR 3000.0
+/** Failed lists after which the list of another VM is read. */
+#define LIST_FAILURES 2
+/** Time after the start in which nothing is watched, ms. */
+#define START_UP 600.0
+/** An outage shorter than this one makes no entries lapse, ms. */
+#define OUTAGE_LEAST 400.0
 /**
  * Time after the store's return for which missing searchers count as present,
  * ms: entries that lapsed meanwhile are written again within two seconds.
  */
-#define RETURN_GRACE 2300.0
-
-enum phase {
-	PHASE_LIST, /* reads the list */
-	PHASE_WATCH, /* waits for changes */
-	PHASE_CREATE, /* creates this VM's entry */
-	PHASE_REPLACE, /* replaces an entry of this VM's name */
-	PHASE_DONE /* nothing more to do */
-};
-
-/* Follows one kind over a connection of its own. */
-struct follower {
-	struct store_sync *sync;
-	enum store_kind kind;
-	enum phase phase;
-	struct client *client;
-	struct event *timer; /* next call, or time-out of this one */
-	bool calling;
-	uint64_t revision; /* everything up to it is known */
-	char *after; /* list: the last name of the former page */
-	bool found_self;
-	wv_msec backoff;
-};
-
-struct store_sync {
-	struct entry *entry;
-	bool lost;
-	struct follower followers[STORE_KIND_COUNT];
-};
+#define RETURN_GRACE 2200.0
 
 static const char *const kind_names[STORE_KIND_COUNT] = {
     "routes", "searchers", "vms"};
 
-static void call(struct follower *follower);
-
-static const char *
-method_of(const struct follower *follower)
-{
-	if (follower->phase == PHASE_CREATE)
-		return "POST";
-	return follower->phase == PHASE_REPLACE ? "PUT" : "GET";
-}
-
-static bool
-is_write(const struct follower *follower)
-{
-	return follower->phase == PHASE_CREATE ||
-	    follower->phase == PHASE_REPLACE;
-}
-
 static void
 set_timer(struct follower *follower, wv_msec delay)
 {
@@ -93,173 +56,167 @@
 	follower->calling = false;
 }
 
+static bool
+is_followed(const struct follower *follower)
+{
+	return follower->kind != STORE_VMS;
+}
+
+static enum wv_peer_state
+state_of(const struct follower *follower)
+{
+	return follower->kind == STORE_ROUTES ? WV_PEER_ROUTES
+					      : WV_PEER_SEARCHERS;
+}
+
 static void
-note_lost(struct follower *follower, const char *why)
+note_failure(struct follower *follower, const char *why)
 {
 	struct store_sync *sync = follower->sync;
+	struct entry *entry = sync->entry;
 
-	wv_counter_add(&sync->entry->metrics.store_failures, 1);
+	wv_counter_add(&entry->metrics.store_failures, 1);
+	if (++follower->failures >= FAILURES_LEAST)
+		sync->failed_at = entry_now(entry);
 	if (sync->lost)
 		return;
 	sync->lost = true;
-	log_line(sync->entry->log, LOG_CHANGE, "store_lost",
+	sync->lost_at = entry_now(entry);
+	log_line(entry->log, LOG_CHANGE, "store_lost",
 	    "\"kind\":\"%s\",\"why\":\"%s\"", kind_names[follower->kind], why);
 }
 
+static void
+note_outage(struct store_sync *sync)
+{
+	struct entry *entry = sync->entry;
+
+	wv_fleet_store_back(entry->fleet, entry_now(entry), RETURN_GRACE);
+	for (int i = 0; i < STORE_KIND_COUNT; i++)
+		sync->followers[i].after_outage = true;
+}
+
+/* The store has answered: it is back if it was lost. */
 static void
 note_answer(struct follower *follower)
 {
 	struct store_sync *sync = follower->sync;
 	struct entry *entry = sync->entry;
+	wv_msec away = entry_now(entry) - sync->lost_at;
 
-	follower->backoff = BACKOFF_FIRST;
+	follower->failures = 0;
 	if (!sync->lost)
 		return;
 	sync->lost = false;
-	wv_fleet_store_back(entry->fleet, entry_now(entry), RETURN_GRACE);
-	log_line(entry->log, LOG_CHANGE, "store_regained", "\"kind\":\"%s\"",
-	    kind_names[follower->kind]);
+	if (away >= OUTAGE_LEAST)
+		note_outage(sync);
+	log_line(entry->log, LOG_CHANGE, "store_regained",
+	    "\"kind\":\"%s\",\"away_ms\":%.0f", kind_names[follower->kind],
+	    away);
 }
 
 static void
 fail(struct follower *follower, const char *why)
 {
 	hang_up(follower);
-	note_lost(follower, why);
+	if (!follower->from_peer)
+		note_failure(follower, why);
+	else
+		log_line(follower->sync->entry->log, LOG_CHANGE,
+		    "peer_call_failed", "\"kind\":\"%s\",\"why\":\"%s\"",
+		    kind_names[follower->kind], why);
 	set_timer(follower, follower->backoff);
 	follower->backoff = fmin(follower->backoff * 2, BACKOFF_MOST);
 }
 
 static void
-take_routes(struct entry *entry, const struct store_object *object)
+begin_list(struct follower *follower)
 {
-	struct wv_status status = {0};
-	struct wv_routes *routes;
-
-	if (object->deleted)
-		return;
-	routes = entry->dialect->decode_routes(object, &status);
-	if (routes == NULL) {
-		wv_counter_add(&entry->metrics.objects_unreadable, 1);
-		log_line(entry->log, LOG_CHANGE, "routes_unreadable",
-		    "\"name\":\"%s\",\"why\":\"%s\"", object->name.data,
-		    status.message);
-		return;
-	}
-	entry_take_routes(entry, routes);
-	wv_routes_unref(routes);
-}
-
-static void
-log_searcher(struct entry *entry, const char *event,
-    const struct wv_searcher_entry *searcher)
-{
-	log_line(entry->log, LOG_CHANGE, event,
-	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
-	    "\"draining\":%s,\"started_ms\":%" G_GUINT64_FORMAT,
-	    searcher->id.data, searcher->service.data, searcher->address.data,
-	    searcher->draining ? "true" : "false", searcher->started);
+	g_free(follower->after);
+	follower->after = NULL;
+	follower->phase = PHASE_LIST;
 }
 
+/* The whole list has been read. */
 static void
-take_searcher(struct entry *entry, const struct store_object *object)
+end_list(struct follower *follower)
 {
-	struct wv_searcher_entry searcher;
-	struct wv_status status = {0};
-	wv_msec now = entry_now(entry);
+	struct entry *entry = follower->sync->entry;
 
-	if (object->deleted) {
-		if (wv_fleet_remove(entry->fleet, now, object->name))
-			log_line(entry->log, LOG_CHANGE, "searcher_missing",
-			    "\"searcher\":\"%s\"", object->name.data);
+	g_free(follower->after);
+	follower->after = NULL;
+	if (!is_followed(follower)) {
+		follower->phase =
+		    follower->found_self ? PHASE_DONE : PHASE_REPLACE;
+		entry->vms_listed = true;
+		entry_set_terms(entry);
 		return;
 	}
-	if (!entry->dialect->decode_searcher(object, &searcher, &status)) {
-		wv_counter_add(&entry->metrics.objects_unreadable, 1);
-		wv_fleet_remove(entry->fleet, now, object->name);
-		log_line(entry->log, LOG_CHANGE, "searcher_unreadable",
-		    "\"searcher\":\"%s\",\"why\":\"%s\"", object->name.data,
-		    status.message);
+	follower->phase = PHASE_FOLLOW;
+	/* What was missed may be missing at others as well. */
+	if (follower->listed)
+		wv_changes_announce(follower->changes);
+	follower->listed = true;
+	if (follower->kind != STORE_SEARCHERS)
 		return;
-	}
-	if (wv_fleet_put(entry->fleet, now, &searcher))
-		log_searcher(entry, "searcher_changed", &searcher);
+	wv_fleet_list_end(entry->fleet, entry_now(entry));
+	entry->searchers_known = true;
+	log_line(entry->log, LOG_CHANGE, "searchers_listed",
+	    "\"searchers\":%zu,\"revision\":%" G_GUINT64_FORMAT,
+	    wv_fleet_size(entry->fleet),
+	    wv_changes_revision(follower->changes));
 }
 
 static void
-take_vm(struct follower *follower, const struct store_object *object)
+keep_listed(struct follower *follower)
 {
-	struct entry *entry = follower->sync->entry;
-	struct vm_entry vm;
+	for (guint i = 0; i < follower->list->len; i++) {
+		struct wv_change *change = follower->list->pdata[i];
 
-	if (object->deleted || !entry->dialect->decode_vm(object, &vm))
-		return;
-	if (wv_string_equal(vm.name, wv_string_borrow(entry->settings->vm)) &&
-	    wv_string_equal(vm.peers, wv_string_borrow(entry->settings->peers)))
-		follower->found_self = true;
-	wv_peers_introduce(entry->peers, entry_now(entry), vm.name, vm.peers);
+		wv_changes_put(follower->changes,
+		    wv_string_borrow(change->name), change->text);
+		change->text = NULL;
+	}
 }
 
 static void
-take_object(void *data, const struct store_object *object)
+take_list_page(struct follower *follower, const struct store_page *page)
 {
-	struct follower *follower = data;
-	struct entry *entry = follower->sync->entry;
-
-	if (follower->kind == STORE_ROUTES)
-		take_routes(entry, object);
-	else if (follower->kind == STORE_SEARCHERS)
-		take_searcher(entry, object);
-	else
-		take_vm(follower, object);
+	/* A later page may be newer; changes in between are followed. */
+	if (follower->after == NULL)
+		wv_changes_reset(follower->changes, page->revision);
+	keep_listed(follower);
+	g_free(follower->after);
+	follower->after = g_strdup(page->last_name);
+	if (!page->more || page->last_name == NULL)
+		end_list(follower);
 }
 
 static void
-restart_list(struct follower *follower)
+take_changes(struct follower *follower, const struct store_page *page)
 {
-	g_free(follower->after);
-	follower->after = NULL;
-	follower->phase = PHASE_LIST;
+	struct store_sync *sync = follower->sync;
+
+	wv_changes_add(follower->changes, entry_now(sync->entry),
+	    page->revision, follower->list,
+	    follower->after_outage || page->after_outage);
+	follower->after_outage = false;
 }
 
-/* The whole list has been read. */
+/* Before objects are taken: an outage that another VM has seen. */
 static void
-list_read(struct follower *follower)
+prepare(struct follower *follower, const struct message *answer)
 {
 	struct entry *entry = follower->sync->entry;
 
-	restart_list(follower);
-	if (follower->kind == STORE_VMS) {
-		follower->phase =
-		    follower->found_self ? PHASE_DONE : PHASE_REPLACE;
-		entry->vms_listed = true;
-		entry_set_terms(entry);
-		return;
-	}
-	follower->phase = PHASE_WATCH;
 	if (follower->kind != STORE_SEARCHERS)
 		return;
-	wv_fleet_list_end(entry->fleet, entry_now(entry));
-	if (!entry->searchers_known)
-		log_line(entry->log, LOG_CHANGE, "searchers_listed",
-		    "\"searchers\":%zu", wv_fleet_size(entry->fleet));
-	entry->searchers_known = true;
-}
-
-static void
-take_page(struct follower *follower, const struct store_page *page)
-{
-	if (follower->phase == PHASE_LIST) {
-		/* A later page may be newer; changes in between are watched. */
-		if (follower->after == NULL)
-			follower->revision = page->revision;
-		g_free(follower->after);
-		follower->after = g_strdup(page->last_name);
-		if (!page->more || page->last_name == NULL)
-			list_read(follower);
-		return;
-	}
-	follower->revision = page->revision;
+	if (follower->from_peer &&
+	    strstr(answer->body->str, entry->dialect->outage_mark) != NULL)
+		wv_fleet_store_back(
+		    entry->fleet, entry_now(entry), RETURN_GRACE);
+	if (follower->phase == PHASE_LIST && follower->after == NULL)
+		wv_fleet_list_begin(entry->fleet);
 }
 
 /* Takes the body of an answer; returns whether it could be read. */
@@ -270,20 +227,22 @@
 	struct wv_string body = {answer->body->str, answer->body->len};
 	struct wv_status status = {0};
 	struct store_page page = {0};
-	bool list = follower->phase == PHASE_LIST;
 	bool good;
 
-	if (list && follower->after == NULL &&
-	    follower->kind == STORE_SEARCHERS)
-		wv_fleet_list_begin(entry->fleet);
-	good =
-	    entry->dialect->decode(body, &page, take_object, follower, &status);
-	if (good)
-		take_page(follower, &page);
-	else
+	prepare(follower, answer);
+	follower->list = wv_change_list_create();
+	good = entry->dialect->decode(
+	    body, &page, store_take_object, follower, &status);
+	if (!good)
 		log_line(entry->log, LOG_CHANGE, "store_answer_unreadable",
 		    "\"kind\":\"%s\",\"why\":\"%s\"",
 		    kind_names[follower->kind], status.message);
+	else if (follower->phase == PHASE_LIST)
+		take_list_page(follower, &page);
+	else
+		take_changes(follower, &page);
+	g_ptr_array_unref(follower->list);
+	follower->list = NULL;
 	g_free(page.last_name);
 	wv_dispatch_fleet_changed(entry->dispatch, entry_now(entry));
 	entry_arm(entry);
@@ -291,48 +250,74 @@
 }
 
 static bool
-take_answer(struct follower *follower, const struct message *answer)
+is_write(const struct follower *follower)
 {
+	return follower->phase == PHASE_CREATE ||
+	    follower->phase == PHASE_REPLACE;
+}
+
+static bool
+take_write(struct follower *follower, unsigned status)
+{
+	bool create = follower->phase == PHASE_CREATE;
+
+	if (status / 100 != 2 && !(create && status == 409))
+		return false;
 	/* Of two VMs that start at once, the later one lists the other. */
-	if (follower->phase == PHASE_CREATE &&
-	    (answer->status == 409 || answer->status / 100 == 2)) {
-		follower->phase = PHASE_LIST;
-		return true;
-	}
-	if (follower->phase == PHASE_REPLACE && answer->status / 100 == 2) {
-		follower->phase = PHASE_DONE;
-		return true;
-	}
+	follower->phase = create ? PHASE_LIST : PHASE_DONE;
+	return true;
+}
+
+static bool
+take_answer(struct follower *follower, const struct message *answer)
+{
+	if (is_write(follower))
+		return take_write(follower, answer->status);
 	if (answer->status == 410) {
-		restart_list(follower);
+		begin_list(follower);
+		/* The VM that is ahead has the list as well. */
+		if (follower->from_peer)
+			follower->failures = LIST_FAILURES;
 		return true;
 	}
-	return answer->status == 200 && !is_write(follower) &&
-	    take_body(follower, answer);
+	return answer->status == 200 && take_body(follower, answer);
+}
+
+/* Sets the timer of the next call, if there is to be one. */
+static void
+plan_next(struct follower *follower, bool followed)
+{
+	struct store_sync *sync = follower->sync;
+
+	event_del(follower->timer);
+	if (follower->phase == PHASE_DONE)
+		hang_up(follower);
+	else if (follower->phase != PHASE_FOLLOW)
+		set_timer(follower, 0);
+	else if (sync->watching)
+		set_timer(follower, followed ? GATHER : 0);
 }
 
 static bool
 on_answer(void *data, struct client *client, struct message *answer)
 {
 	struct follower *follower = data;
-	bool watched = follower->phase == PHASE_WATCH;
+	bool followed = follower->phase == PHASE_FOLLOW;
+	bool good;
 
 	follower->calling = false;
-	if (!take_answer(follower, answer)) {
-		message_destroy(answer);
-		fail(follower, "refused");
+	good = take_answer(follower, answer);
+	message_destroy(answer);
+	if (!good) {
+		fail(follower, "refused or unreadable");
 		return true;
 	}
-	message_destroy(answer);
-	note_answer(follower);
+	follower->backoff = BACKOFF_FIRST;
+	if (!follower->from_peer)
+		note_answer(follower);
 	if (!client_reusable(client))
 		hang_up(follower);
-	if (follower->phase == PHASE_DONE) {
-		hang_up(follower);
-		event_del(follower->timer);
-	} else {
-		set_timer(follower, watched ? GATHER : 0);
-	}
+	plan_next(follower, followed);
 	return true;
 }
 
@@ -354,17 +339,18 @@
 static char *
 path_of(const struct follower *follower)
 {
-	const struct dialect *dialect = follower->sync->entry->dialect;
+	const struct entry *entry = follower->sync->entry;
+	const struct dialect *dialect = entry->dialect;
 
 	switch (follower->phase) {
 	case PHASE_LIST:
 		return dialect->list_path(follower->kind, follower->after);
-	case PHASE_WATCH:
-		return dialect->watch_path(
-		    follower->kind, follower->revision, WATCH_WAIT);
+	case PHASE_FOLLOW:
+		return dialect->watch_path(follower->kind,
+		    wv_changes_revision(follower->changes), WATCH_WAIT);
 	case PHASE_REPLACE:
 		return dialect->object_path(
-		    follower->kind, follower->sync->entry->settings->vm);
+		    follower->kind, entry->settings->vm);
 	case PHASE_CREATE:
 	case PHASE_DONE:
 		break;
@@ -372,52 +358,95 @@
 	return dialect->create_path(follower->kind);
 }
 
-static struct wv_string
-body_of(const struct follower *follower)
+static const char *
+method_of(const struct follower *follower)
+{
+	if (follower->phase == PHASE_CREATE)
+		return "POST";
+	return follower->phase == PHASE_REPLACE ? "PUT" : "GET";
+}
+
+static GString *
+compose(const struct follower *follower)
 {
 	const struct entry *entry = follower->sync->entry;
 	struct vm_entry vm = {
 	    .name = wv_string_borrow(entry->settings->vm),
 	    .peers = wv_string_borrow(entry->settings->peers),
+	    .capacity = entry->settings->capacity,
 	};
-	struct wv_string none = {NULL, 0};
+	GString *request = g_string_new(NULL);
+	char *path = path_of(follower);
+	struct wv_string body;
+
+	g_string_append_printf(request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+	    method_of(follower), path, entry->settings->store);
+	g_free(path);
+	if (!is_write(follower)) {
+		g_string_append(request, "\r\n");
+		return request;
+	}
+	body = entry->dialect->encode_vm(&vm);
+	g_string_append_printf(request,
+	    "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+	    body.length);
+	g_string_append_len(request, body.data, (gssize)body.length);
+	wv_string_clear(&body);
+	return request;
+}
+
+/* The address of another VM that can answer instead of the store, or "". */
+static const char *
+find_peer(const struct follower *follower)
+{
+	struct entry *entry = follower->sync->entry;
+	bool list = follower->phase == PHASE_LIST;
 
-	return follower->phase == PHASE_CREATE ? entry->dialect->encode_vm(&vm)
-					       : none;
+	if (!is_followed(follower) || is_write(follower) ||
+	    (list && follower->failures < LIST_FAILURES) ||
+	    (!list && follower->sync->watching))
+		return "";
+	return wv_peers_ahead(entry->peers, entry_now(entry),
+	    state_of(follower), wv_changes_revision(follower->changes))
+	    .data;
 }
 
 static void
-call(struct follower *follower)
+call(struct follower *follower, const char *address)
 {
 	struct entry *entry = follower->sync->entry;
-	struct wv_string body = body_of(follower);
-	char *path = path_of(follower);
-	GString *request = g_string_new(NULL);
-	struct wv_string bytes;
+	bool waits = !follower->from_peer && follower->phase == PHASE_FOLLOW;
+	GString *request = compose(follower);
+	struct wv_string bytes = {request->str, request->len};
 
-	g_string_append_printf(request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-	    method_of(follower), path, entry->settings->store);
-	if (is_write(follower))
-		g_string_append_printf(request,
-		    "Content-Type: application/json\r\n"
-		    "Content-Length: %zu\r\n",
-		    body.length);
-	g_string_append(request, "\r\n");
-	if (is_write(follower))
-		g_string_append_len(request, body.data, (gssize)body.length);
+	if (follower->address == NULL ||
+	    !g_str_equal(follower->address, address)) {
+		hang_up(follower);
+		g_free(follower->address);
+		follower->address = g_strdup(address);
+	}
 	if (follower->client == NULL)
-		follower->client = client_create(
-		    entry->base, entry->settings->store, &ops, follower);
+		follower->client =
+		    client_create(entry->base, address, &ops, follower);
 	follower->calling = true;
-	bytes.data = request->str;
-	bytes.length = request->len;
-	wv_counter_add(&entry->metrics.store_calls, 1);
+	if (!follower->from_peer)
+		wv_counter_add(&entry->metrics.store_calls, 1);
 	client_send(follower->client, bytes, false);
-	set_timer(follower,
-	    CALL_TIMEOUT + (follower->phase == PHASE_WATCH ? WATCH_WAIT : 0));
+	set_timer(follower, CALL_TIMEOUT + (waits ? WATCH_WAIT : 0));
 	g_string_free(request, TRUE);
-	wv_string_clear(&body);
-	g_free(path);
+}
+
+static void
+next_call(struct follower *follower)
+{
+	struct store_sync *sync = follower->sync;
+	const char *peer = find_peer(follower);
+
+	follower->from_peer = peer[0] != '\0';
+	if (follower->from_peer)
+		call(follower, peer);
+	else if (follower->phase != PHASE_FOLLOW || sync->watching)
+		call(follower, sync->entry->settings->store);
 }
 
 static void
@@ -428,7 +457,96 @@
 	if (follower->calling)
 		fail(follower, "no answer in time");
 	else
-		call(follower);
+		next_call(follower);
+}
+
+uint64_t
+store_sync_revision(const struct store_sync *sync, enum wv_peer_state state)
+{
+	enum store_kind kind =
+	    state == WV_PEER_ROUTES ? STORE_ROUTES : STORE_SEARCHERS;
+
+	return wv_changes_newest(sync->followers[kind].changes);
+}
+
+bool
+store_sync_failed(const struct store_sync *sync)
+{
+	return entry_now(sync->entry) - sync->failed_at < FAILED_FOR;
+}
+
+void
+store_sync_heard(
+    struct store_sync *sync, const uint64_t revisions[WV_PEER_STATES])
+{
+	for (int i = 0; i < STORE_KIND_COUNT; i++) {
+		struct follower *follower = &sync->followers[i];
+
+		if (follower->phase != PHASE_FOLLOW || follower->calling ||
+		    sync->watching ||
+		    event_pending(follower->timer, EV_TIMEOUT, NULL))
+			continue;
+		if (revisions[state_of(follower)] >
+		    wv_changes_revision(follower->changes))
+			next_call(follower);
+	}
+}
+
+void
+store_sync_check(struct store_sync *sync)
+{
+	struct entry *entry = sync->entry;
+	wv_msec now = entry_now(entry);
+	struct wv_peer_standing standing =
+	    wv_peers_standing(entry->peers, now, store_sync_failed(sync));
+
+	if (now - entry->started_at < START_UP ||
+	    standing.is_watcher == sync->watching)
+		return;
+	sync->watching = standing.is_watcher;
+	log_line(entry->log, LOG_CHANGE, "store_watching",
+	    "\"watching\":%s,\"vms\":%u", sync->watching ? "true" : "false",
+	    standing.vms);
+	for (int i = 0; i < STORE_KIND_COUNT && sync->watching; i++) {
+		struct follower *follower = &sync->followers[i];
+
+		if (follower->phase == PHASE_FOLLOW && !follower->calling)
+			set_timer(follower, 0);
+	}
+}
+
+void
+store_sync_serve(struct store_sync *sync, struct server_conn *conn,
+    const struct message *message)
+{
+	const struct dialect *dialect = sync->entry->dialect;
+	GPtrArray *texts = g_ptr_array_new();
+	struct wv_changes *changes;
+	bool after_outage = false;
+	enum store_kind kind;
+	uint64_t revision;
+	GString *text;
+	bool known = true;
+	bool list;
+
+	if (!dialect->parse_read(
+		message_target(message), &kind, &list, &revision)) {
+		g_ptr_array_free(texts, TRUE);
+		server_answer_text(conn, 404, "unknown path\n");
+		return;
+	}
+	changes = sync->followers[kind].changes;
+	if (list && sync->followers[kind].phase == PHASE_FOLLOW)
+		wv_changes_all(changes, texts);
+	else
+		known = !list &&
+		    wv_changes_after(changes, revision, texts, &after_outage);
+	text = dialect->encode_changes(
+	    texts, wv_changes_revision(changes), after_outage);
+	server_answer(conn, known ? 200 : 410, NULL,
+	    (struct wv_string){text->str, text->len});
+	g_string_free(text, TRUE);
+	g_ptr_array_free(texts, TRUE);
 }
 
 struct store_sync *
@@ -437,6 +555,7 @@
 	struct store_sync *sync = g_new0(struct store_sync, 1);
 
 	sync->entry = entry;
+	sync->failed_at = -WV_MSEC_NEVER;
 	for (int i = 0; i < STORE_KIND_COUNT; i++) {
 		struct follower *follower = &sync->followers[i];
 
@@ -444,9 +563,10 @@
 		follower->kind = (enum store_kind)i;
 		follower->phase = i == STORE_VMS ? PHASE_CREATE : PHASE_LIST;
 		follower->backoff = BACKOFF_FIRST;
+		follower->changes = wv_changes_create();
 		follower->timer =
 		    event_new(entry->base, -1, 0, on_timer, follower);
-		call(follower);
+		set_timer(follower, 0);
 	}
 	return sync;
 }
@@ -459,6 +579,8 @@
 
 		hang_up(follower);
 		event_free(follower->timer);
+		wv_changes_destroy(follower->changes);
+		g_free(follower->address);
 		g_free(follower->after);
 	}
 	g_free(sync);
--- /dev/null
+++ b/entry/store_sync_private.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * What the sources that follow the store share.
+ */
+#ifndef WISTERIAVANE_ENTRY_STORE_SYNC_PRIVATE_H
+#define WISTERIAVANE_ENTRY_STORE_SYNC_PRIVATE_H
+
+#include "entry/client.h"
+#include "entry/entry.h"
+#include "wisteriavane/changes.h"
+
+/** What a follower does next. */
+enum phase {
+	PHASE_CREATE, /**< creates this VM's entry */
+	PHASE_LIST, /**< reads the list */
+	PHASE_REPLACE, /**< replaces an entry of this VM's name */
+	PHASE_FOLLOW, /**< hears of changes, from the store or another VM */
+	PHASE_DONE /**< nothing more */
+};
+
+/** Follows one kind over a connection of its own. */
+struct follower {
+	struct store_sync *sync;
+	enum store_kind kind;
+	enum phase phase;
+	struct client *client;
+	char *address; /**< owned: where the client is connected to */
+	struct event *timer; /**< next call, or time-out of this one */
+	bool calling;
+	bool from_peer; /**< the call goes to another VM */
+	bool found_self; /**< the list has this VM's entry */
+	bool listed; /**< a list has been read since the start */
+	bool after_outage; /**< the next changes follow an outage */
+	char *after; /**< owned: last name of the list's former page */
+	uint64_t list_revision; /**< of the list's first page */
+	GPtrArray *list; /**< owned: changes of the answer being read */
+	struct wv_changes *changes; /**< owned: what is known */
+	unsigned failures; /**< calls in a row */
+	wv_msec backoff;
+};
+
+/** Follows all kinds. */
+struct store_sync {
+	struct entry *entry;
+	bool lost; /**< the last call of the store failed */
+	bool watching; /**< this VM follows the store itself */
+	wv_msec lost_at;
+	wv_msec failed_at; /**< last time that a call failed twice in a row */
+	struct follower followers[STORE_KIND_COUNT];
+};
+
+/** Takes an object of an answer; data is the follower. */
+void store_take_object(void *data, const struct store_object *object);
+
+#endif
--- a/proto/vm_report.pb-c.c
+++ b/proto/vm_report.pb-c.c
@@ -52,7 +52,7 @@
   assert(message->base.descriptor == &vm_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[13] =
 {
   {
     "protocol",
@@ -175,12 +175,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "routes_version",
+    "store_failed",
     11,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(VmReport, store_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes_revision",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(VmReport, routes_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "searchers_revision",
+    13,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(VmReport, routes_version),
+    offsetof(VmReport, searchers_revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -195,15 +219,17 @@
   1,   /* field[1] = name */
   4,   /* field[4] = peers */
   0,   /* field[0] = protocol */
-  10,   /* field[10] = routes_version */
+  11,   /* field[11] = routes_revision */
+  12,   /* field[12] = searchers_revision */
   3,   /* field[3] = sequence */
   7,   /* field[7] = serving */
+  10,   /* field[10] = store_failed */
   6,   /* field[6] = zone */
 };
 static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -213,7 +239,7 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  11,
+  13,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
   1,  vm_report__number_ranges,
--- a/proto/vm_report.pb-c.h
+++ b/proto/vm_report.pb-c.h
@@ -70,13 +70,18 @@
    */
   double capacity;
   /*
-   * version of the routes in force
+   * a recent call of the store failed
    */
-  uint64_t routes_version;
+  protobuf_c_boolean store_failed;
+  /*
+   * the store's revision known, 0 if none
+   */
+  uint64_t routes_revision;
+  uint64_t searchers_revision;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /* VmReport methods */
--- /dev/null
+++ b/src/changes.c
@@ -0,0 +1,206 @@
+/**
+ * @file
+ * Objects of the store and their recent changes.
+ */
+#include <string.h>
+
+#include "src/private.h"
+#include "wisteriavane/changes.h"
+
+/** Time for which changes are kept, ms. */
+#define KEPT_FOR 20000.0
+/** Bytes of changes that are kept. */
+#define KEPT_BYTES (2u << 20)
+
+struct batch {
+	uint64_t to; /* revision after these changes */
+	wv_msec at;
+	bool after_outage;
+	size_t bytes;
+	GPtrArray *list; /* struct wv_change */
+};
+
+struct wv_changes {
+	GQueue batches; /* oldest first */
+	GHashTable *objects; /* texts by name; owned */
+	uint64_t revision;
+	uint64_t oldest; /* changes after this revision are known */
+	uint64_t newest;
+	size_t bytes;
+};
+
+static void
+change_destroy(gpointer data)
+{
+	struct wv_change *change = data;
+
+	g_free(change->name);
+	g_free(change->text);
+	g_free(change);
+}
+
+GPtrArray *
+wv_change_list_create(void)
+{
+	return g_ptr_array_new_with_free_func(change_destroy);
+}
+
+void
+wv_change_list_add(
+    GPtrArray *list, struct wv_string name, char *text, bool deleted)
+{
+	struct wv_change *change = g_new0(struct wv_change, 1);
+
+	change->name = g_strndup(name.data, name.length);
+	change->text = text;
+	change->deleted = deleted;
+	g_ptr_array_add(list, change);
+}
+
+static void
+batch_destroy(gpointer data)
+{
+	struct batch *batch = data;
+
+	g_ptr_array_unref(batch->list);
+	g_free(batch);
+}
+
+struct wv_changes *
+wv_changes_create(void)
+{
+	struct wv_changes *changes = g_new0(struct wv_changes, 1);
+
+	g_queue_init(&changes->batches);
+	changes->objects =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return changes;
+}
+
+void
+wv_changes_destroy(struct wv_changes *changes)
+{
+	wv_changes_reset(changes, 0);
+	g_hash_table_unref(changes->objects);
+	g_free(changes);
+}
+
+void
+wv_changes_reset(struct wv_changes *changes, uint64_t revision)
+{
+	g_queue_clear_full(&changes->batches, batch_destroy);
+	g_hash_table_remove_all(changes->objects);
+	changes->revision = revision;
+	changes->oldest = revision;
+	changes->newest = 0;
+	changes->bytes = 0;
+}
+
+void
+wv_changes_put(struct wv_changes *changes, struct wv_string name, char *text)
+{
+	g_hash_table_insert(
+	    changes->objects, g_strndup(name.data, name.length), text);
+}
+
+static void
+prune(struct wv_changes *changes, wv_msec now)
+{
+	struct batch *oldest;
+
+	while ((oldest = g_queue_peek_head(&changes->batches)) != NULL &&
+	    (now - oldest->at > KEPT_FOR || changes->bytes > KEPT_BYTES)) {
+		changes->bytes -= oldest->bytes;
+		changes->oldest = oldest->to;
+		batch_destroy(g_queue_pop_head(&changes->batches));
+	}
+}
+
+static size_t
+apply(struct wv_changes *changes, const GPtrArray *list)
+{
+	size_t bytes = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct wv_change *change = list->pdata[i];
+
+		bytes += strlen(change->text);
+		if (change->deleted)
+			g_hash_table_remove(changes->objects, change->name);
+		else
+			g_hash_table_insert(changes->objects,
+			    g_strdup(change->name), g_strdup(change->text));
+	}
+	return bytes;
+}
+
+void
+wv_changes_add(struct wv_changes *changes, wv_msec now, uint64_t revision,
+    GPtrArray *list, bool after_outage)
+{
+	struct batch *batch;
+
+	changes->revision = revision;
+	prune(changes, now);
+	if (list->len == 0)
+		return;
+	batch = g_new0(struct batch, 1);
+	batch->to = revision;
+	batch->at = now;
+	batch->after_outage = after_outage;
+	batch->list = g_ptr_array_ref(list);
+	batch->bytes = apply(changes, list);
+	changes->bytes += batch->bytes;
+	changes->newest = revision;
+	g_queue_push_tail(&changes->batches, batch);
+}
+
+uint64_t
+wv_changes_revision(const struct wv_changes *changes)
+{
+	return changes->revision;
+}
+
+uint64_t
+wv_changes_newest(const struct wv_changes *changes)
+{
+	return changes->newest;
+}
+
+void
+wv_changes_announce(struct wv_changes *changes)
+{
+	changes->newest = changes->revision;
+}
+
+bool
+wv_changes_after(const struct wv_changes *changes, uint64_t revision,
+    GPtrArray *texts, bool *after_outage)
+{
+	*after_outage = false;
+	if (revision < changes->oldest)
+		return false;
+	for (GList *item = changes->batches.head; item != NULL;
+	     item = item->next) {
+		const struct batch *batch = item->data;
+
+		if (batch->to <= revision)
+			continue;
+		*after_outage |= batch->after_outage;
+		for (guint i = 0; i < batch->list->len; i++)
+			g_ptr_array_add(texts,
+			    ((struct wv_change *)batch->list->pdata[i])->text);
+	}
+	return true;
+}
+
+void
+wv_changes_all(const struct wv_changes *changes, GPtrArray *texts)
+{
+	GHashTableIter iter;
+	gpointer text;
+
+	g_hash_table_iter_init(&iter, changes->objects);
+	while (g_hash_table_iter_next(&iter, NULL, &text))
+		g_ptr_array_add(texts, text);
+}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -41,7 +41,7 @@
 	dispatch->random = seed | 1;
 	dispatch->paces = g_hash_table_new_full(
 	    wv_string_key_hash, wv_string_key_equal, NULL, pace_destroy);
-	dispatch->terms.vms = 1;
+	dispatch->terms.divisor = 1;
 	return dispatch;
 }
 
@@ -58,9 +58,7 @@
     struct wv_dispatch *dispatch, const struct wv_dispatch_terms *terms)
 {
 	dispatch->terms = *terms;
-	dispatch->terms.vms = MAX(terms->vms, 1);
-	dispatch->share = terms->allowance;
-	dispatch->share.slack /= dispatch->terms.vms;
+	dispatch->terms.divisor = fmax(terms->divisor, 1);
 }
 
 void
@@ -129,7 +127,8 @@
 	shard->task = task;
 	shard->service = wv_fleet_service(dispatch->fleet, service);
 	shard->timer = dispatch_timer_create(TIMER_SHARD, shard);
-	wv_allowance_first(&shard->service->allowance, &dispatch->share, now);
+	wv_allowance_first(
+	    &shard->service->allowance, &dispatch->terms.allowance, now);
 }
 
 static void
--- a/src/dispatch_pick.c
+++ b/src/dispatch_pick.c
@@ -29,7 +29,9 @@
 connection_share(
     const struct wv_dispatch *dispatch, const struct wv_fleet_service *service)
 {
-	return MAX(service->connections / dispatch->terms.vms, 1);
+	double share = service->connections / dispatch->terms.divisor;
+
+	return MAX((unsigned)share, 1);
 }
 
 static bool
--- a/src/dispatch_private.h
+++ b/src/dispatch_private.h
@@ -35,7 +35,6 @@
 	struct wv_fleet *fleet;
 	struct wv_dispatch_ops *ops;
 	struct wv_dispatch_terms terms;
-	struct wv_allowance_terms share; /**< this VM's part of the allowance */
 	struct timers timers;
 	GHashTable *paces; /**< by route name; owned */
 	uint64_t random;
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -180,7 +180,7 @@
 		return false;
 	if (arrived &&
 	    !wv_allowance_spend(
-		&shard->service->allowance, &dispatch->share, now))
+		&shard->service->allowance, &dispatch->terms.allowance, now))
 		return false;
 	start_attempt(dispatch, now, shard, searcher, arrived);
 	return true;
@@ -198,7 +198,7 @@
 	searcher = dispatch_pick(dispatch, now, shard, PURPOSE_HEDGE);
 	if (searcher != NULL &&
 	    wv_allowance_spend(
-		&shard->service->allowance, &dispatch->share, now))
+		&shard->service->allowance, &dispatch->terms.allowance, now))
 		start_attempt(dispatch, now, shard, searcher, true);
 	else
 		dispatch_timer_set(dispatch, shard->timer, now + again);
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -180,8 +180,8 @@
 	char name[16];
 	char zone[16];
 
-	g_snprintf(searcher->id, sizeof(searcher->id), "s%u-%u", service,
-	    replica);
+	g_snprintf(
+	    searcher->id, sizeof(searcher->id), "s%u-%u", service, replica);
 	g_snprintf(name, sizeof(name), "service%u", service);
 	g_snprintf(zone, sizeof(zone), "z%u", replica);
 	searcher->slots = 2;
@@ -197,8 +197,8 @@
 
 /* Route 0 asks all services; route 1 and 2 ask service 0 only. */
 static inline void
-world_fill_route(struct world *world, unsigned i, unsigned services,
-    bool idempotent)
+world_fill_route(
+    struct world *world, unsigned i, unsigned services, bool idempotent)
 {
 	struct wv_route *route = &world->routes->routes[i];
 	char text[16];
@@ -242,7 +242,7 @@
 {
 	struct world *world = g_new0(struct world, 1);
 	struct wv_dispatch_terms terms = {
-	    .allowance = {0.2, 50, 10000, 0}, .vms = 1};
+	    .allowance = {0.2, 50, 10000, 0}, .divisor = 1};
 
 	world->ops.send = world_send;
 	world->ops.cancel = world_cancel;
@@ -254,8 +254,7 @@
 	world->work = 10;
 	world->replicas = replicas;
 	world->now = 100000;
-	world->fleet =
-	    wv_fleet_create(world_text("z0"), &world->fleet_ops);
+	world->fleet = wv_fleet_create(world_text("z0"), &world->fleet_ops);
 	world->dispatch = wv_dispatch_create(world->fleet, &world->ops, seed);
 	wv_dispatch_set_terms(world->dispatch, &terms);
 	world->routes = wv_routes_create(1, 3, services);
@@ -287,8 +286,8 @@
 }
 
 static inline void
-world_end_job(struct world *world, struct world_job *job,
-    enum wv_attempt_end end)
+world_end_job(
+    struct world *world, struct world_job *job, enum wv_attempt_end end)
 {
 	struct wv_attempt *attempt = job->attempt;
 	struct wv_reply reply = {.end = end, .success = end == WV_END_ANSWERED};
@@ -343,8 +342,7 @@
 	for (unsigned i = 0; i < WORLD_QUEUE; i++) {
 		struct world_job *job = &searcher->jobs[i];
 
-		if (job->used && job->arrives <= world->now &&
-		    job->ends == 0 &&
+		if (job->used && job->arrives <= world->now && job->ends == 0 &&
 		    (oldest == NULL || job->arrives < oldest->arrives))
 			oldest = job;
 	}
@@ -357,8 +355,7 @@
 {
 	unsigned running = 0;
 
-	if (searcher->mode == WORLD_DARK ||
-	    world->now < searcher->paused_until)
+	if (searcher->mode == WORLD_DARK || world->now < searcher->paused_until)
 		return;
 	for (unsigned i = 0; i < WORLD_QUEUE; i++) {
 		struct world_job *job = &searcher->jobs[i];
@@ -382,8 +379,8 @@
 
 		if (job == NULL)
 			return;
-		job->ends = world->now +
-		    world_draw_work(world, searcher) + WORLD_DELAY;
+		job->ends =
+		    world->now + world_draw_work(world, searcher) + WORLD_DELAY;
 		searcher->runs++;
 	}
 }
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -144,8 +144,7 @@
 static void
 test_once(void)
 {
-	enum world_mode modes[] = {
-	    WORLD_DARK, WORLD_FAILING, WORLD_BREAKING};
+	enum world_mode modes[] = {WORLD_DARK, WORLD_FAILING, WORLD_BREAKING};
 
 	for (size_t m = 0; m < G_N_ELEMENTS(modes); m++) {
 		struct world *world = world_create(1, 3, 8);
@@ -257,7 +256,7 @@
 {
 	struct world *world = world_create(1, 3, 13);
 	struct wv_dispatch_terms terms = {
-	    .allowance = {0.2, 50, 10000, 0}, .vms = 4};
+	    .allowance = {0.2, 50, 10000, 0}, .divisor = 4};
 	struct world_result results[60] = {0};
 	unsigned not_served = 0;
 
@@ -268,8 +267,7 @@
 	}
 	world_run(world, 2000);
 	for (unsigned k = 0; k < 3; k++)
-		g_assert_cmpuint(
-		    world_searcher(world, 0, k)->peak, <=, 8 / 4);
+		g_assert_cmpuint(world_searcher(world, 0, k)->peak, <=, 8 / 4);
 	for (unsigned i = 0; i < 60; i++) {
 		g_assert_true(results[i].done);
 		if (results[i].kind == WV_RESULT_RELAY)
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -8,8 +8,8 @@
 #include "entry/message.h"
 
 static enum parse_state
-feed_by(struct message_parser *parser, const char *text, size_t step,
-    size_t *used)
+feed_by(
+    struct message_parser *parser, const char *text, size_t step, size_t *used)
 {
 	size_t length = strlen(text);
 	enum parse_state state = PARSE_MORE;
@@ -98,12 +98,12 @@
 	size_t rest;
 
 	message_parser_init(&parser, HTTP_REQUEST, 1024, 64);
-	g_assert_cmpint(feed_by(&parser, text, sizeof(text), &used), ==,
-	    PARSE_COMPLETE);
+	g_assert_cmpint(
+	    feed_by(&parser, text, sizeof(text), &used), ==, PARSE_COMPLETE);
 	g_assert_cmpuint(used, ==, (sizeof(text) - 1) / 2);
 	message_parser_next(&parser, false);
-	g_assert_cmpint(feed_by(&parser, text + used, 5, &rest), ==,
-	    PARSE_COMPLETE);
+	g_assert_cmpint(
+	    feed_by(&parser, text + used, 5, &rest), ==, PARSE_COMPLETE);
 	g_assert_cmpint(message_target(parser.message).data[1], ==, '2');
 	message_parser_clear(&parser);
 }
@@ -141,14 +141,13 @@
 	while (text->len <= 1024)
 		g_string_append(text, "X: yyyyyyyyyyyyyyyy\r\n");
 	g_string_append(text, "\r\n");
-	g_assert_cmpint(parse(&parser, HTTP_REQUEST, text->str, 100), ==,
-	    PARSE_FAULT);
+	g_assert_cmpint(
+	    parse(&parser, HTTP_REQUEST, text->str, 100), ==, PARSE_FAULT);
 	g_assert_cmpint(parser.fault, ==, MESSAGE_HEADER_TOO_LARGE);
 	message_parser_clear(&parser);
 	g_string_free(text, TRUE);
 	g_assert_cmpint(parse(&parser, HTTP_REQUEST,
-			    "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
-			    9),
+			    "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", 9),
 	    ==, PARSE_FAULT);
 	g_assert_cmpint(parser.fault, ==, MESSAGE_BODY_TOO_LARGE);
 	message_parser_clear(&parser);
@@ -202,12 +201,10 @@
 {
 	uint64_t number;
 
-	g_assert_true(
-	    message_parse_number(wv_string_borrow("1500"), &number));
+	g_assert_true(message_parse_number(wv_string_borrow("1500"), &number));
 	g_assert_cmpuint(number, ==, 1500);
 	g_assert_false(message_parse_number(wv_string_borrow(""), &number));
-	g_assert_false(
-	    message_parse_number(wv_string_borrow("+1"), &number));
+	g_assert_false(message_parse_number(wv_string_borrow("+1"), &number));
 	g_assert_false(message_parse_number(
 	    wv_string_borrow("99999999999999999999"), &number));
 }
--- a/test/test_routes.c
+++ b/test/test_routes.c
@@ -10,10 +10,8 @@
 make_table(void)
 {
 	static const char *const rows[][2] = {{"a.example", "/x/"},
-	    {"a.example", "/x/y/"}, {"b.example", "/x/"},
-	    {"a.example", "/"}};
-	struct wv_routes *routes =
-	    wv_routes_create(7, G_N_ELEMENTS(rows), 0);
+	    {"a.example", "/x/y/"}, {"b.example", "/x/"}, {"a.example", "/"}};
+	struct wv_routes *routes = wv_routes_create(7, G_N_ELEMENTS(rows), 0);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		struct wv_route *route = &routes->routes[i];
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -129,8 +129,8 @@
 
 /** Bounds that the deployment sets. */
 struct wv_dispatch_terms {
-	struct wv_allowance_terms allowance; /**< slack for all VMs together */
-	unsigned vms; /**< VMs that share connections and slack, at least 1 */
+	struct wv_allowance_terms allowance; /**< with this VM's slack */
+	double divisor; /**< this VM may use one in so many connections */
 };
 
 /** Creates a dispatch; fleet and ops are borrowed. */
