--- a/entry/client.c
+++ b/entry/client.c
@@ -68,6 +68,7 @@
 	socklen_t size = sizeof(int);
 	int error = 0;
 
+	(void)what;
 	if (!client->connected) {
 		if (fd < 0 ||
 		    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
@@ -171,6 +172,7 @@
 	size_t at = 0;
 	size_t used = 0;
 
+	(void)what;
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -261,12 +261,14 @@
 static void
 cancel_attempt(struct wv_dispatch_ops *ops, struct wv_attempt *attempt)
 {
+	(void)ops;
 	upstream_cancel(attempt);
 }
 
 static void
 drop_message(struct wv_dispatch_ops *ops, void *message)
 {
+	(void)ops;
 	message_destroy(message);
 }
 
@@ -468,6 +470,7 @@
 static void
 release_searcher(struct wv_fleet_ops *ops, struct wv_searcher *searcher)
 {
+	(void)ops;
 	upstream_release(searcher);
 }
 
@@ -478,6 +481,8 @@
 	struct entry *entry = gateway->entry;
 	wv_msec now = entry_now(entry);
 
+	(void)fd;
+	(void)what;
 	wv_fleet_tick(entry->fleet, now);
 	wv_dispatch_tick(entry->dispatch, now);
 	gateway_arm(gateway);
--- a/entry/log.c
+++ b/entry/log.c
@@ -50,6 +50,8 @@
 	struct timeval time = socket_timeval(COLLECT);
 	struct log *log = data;
 
+	(void)fd;
+	(void)what;
 	flush(log);
 	if (log->buffer->len > 0)
 		event_add(log->timer, &time);
--- a/entry/main.c
+++ b/entry/main.c
@@ -138,6 +138,7 @@
 	GString *text = metrics_text(&entry->metrics);
 	struct wv_string body = {text->str, text->len};
 
+	(void)message;
 	server_answer(conn, 200, NULL, body);
 	g_string_free(text, TRUE);
 }
@@ -203,6 +204,8 @@
 	wv_msec passed = entry_now(entry) - entry->stop_at;
 	wv_msec limit = entry->settings->stop_s * 1000;
 
+	(void)fd;
+	(void)what;
 	if (passed >= limit - STOP_MARGIN)
 		gateway_abort(entry->gateway);
 	if (passed >= limit - STOP_MARGIN / 2 ||
@@ -221,6 +224,8 @@
 	struct process *process = data;
 	struct entry *entry = &process->entry;
 
+	(void)fd;
+	(void)what;
 	if (entry->stopping)
 		return;
 	entry->stopping = true;
@@ -252,6 +257,8 @@
 	struct entry *entry = &process->entry;
 	struct entry_settings *settings = read_settings(entry->settings_file);
 
+	(void)fd;
+	(void)what;
 	log_line(entry->log, LOG_CHANGE, "settings_reloaded", "\"accepted\":%s",
 	    settings == NULL ? "false" : "true");
 	if (settings != NULL)
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -114,6 +114,7 @@
 	struct reports *reports = data;
 	uint8_t buffer[DATAGRAM_MOST];
 
+	(void)what;
 	for (int i = 0; i < READ_MOST; i++) {
 		ssize_t n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 		VmReport *report;
@@ -153,6 +154,8 @@
 	struct entry *entry = reports->entry;
 	struct timeval time = socket_timeval(wv_peers_interval(entry->peers));
 
+	(void)fd;
+	(void)what;
 	log_membership(reports);
 	entry_set_terms(entry);
 	store_sync_check(entry->store);
--- a/entry/server.c
+++ b/entry/server.c
@@ -331,6 +331,7 @@
 	struct server_conn *conn = data;
 	ssize_t n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
 
+	(void)what;
 	if (n > 0)
 		take_bytes(conn, buffer, (size_t)n);
 	else if (n == 0 || (errno != EAGAIN && errno != EINTR))
@@ -340,6 +341,8 @@
 static void
 on_write(evutil_socket_t fd, short what, void *data)
 {
+	(void)fd;
+	(void)what;
 	write_some(data);
 }
 
@@ -348,6 +351,8 @@
 {
 	struct server_conn *conn = data;
 
+	(void)fd;
+	(void)what;
 	if (conn->state == CONN_READING &&
 	    message_parser_started(&conn->parser))
 		refuse(conn, 408);
@@ -383,6 +388,7 @@
 {
 	struct server *server = data;
 
+	(void)what;
 	for (int i = 0; i < ACCEPT_MOST; i++) {
 		int fd = accept(listener, NULL, NULL);
 
@@ -429,9 +435,15 @@
 void
 server_destroy(struct server *server)
 {
+	struct server_conn *conn = server->conns;
+
 	server_stop_listening(server);
-	while (server->conns != NULL)
-		conn_close(server->conns);
+	while (conn != NULL) {
+		struct server_conn *next = conn->next;
+
+		conn_close(conn);
+		conn = next;
+	}
 	g_free(server);
 }
 
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -326,6 +326,7 @@
 {
 	struct follower *follower = data;
 
+	(void)client;
 	if (follower->calling)
 		fail(follower,
 		    end == CLIENT_REFUSED ? "no connection"
@@ -454,6 +455,8 @@
 {
 	struct follower *follower = data;
 
+	(void)fd;
+	(void)what;
 	if (follower->calling)
 		fail(follower, "no answer in time");
 	else
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -132,6 +132,7 @@
 	struct wv_reply reply = {0};
 	struct wv_attempt *attempt = link->attempt;
 
+	(void)client;
 	if (!is_own(link, answer)) {
 		wv_counter_add(&entry->metrics.stale_answers, 1);
 		message_destroy(answer);
@@ -182,6 +183,8 @@
 	struct link *link = data;
 	struct wv_reply reply = {.end = WV_END_NOT_SENT};
 
+	(void)fd;
+	(void)what;
 	if (link->attempt == NULL || client_connected(link->client))
 		return;
 	report(link, &reply);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -263,6 +263,7 @@
 {
 	bool enough = task->included >= task->needed;
 
+	(void)now;
 	if (task->route->kind == WV_ROUTE_SINGLE) {
 		if (task->shards[0].message != NULL)
 			relay(dispatch, task);
@@ -360,6 +361,7 @@
 wv_dispatch_abort(
     struct wv_dispatch *dispatch, wv_msec now, struct wv_task *task)
 {
+	(void)now;
 	if (task->route->kind == WV_ROUTE_SCATTER &&
 	    task->included >= task->needed)
 		answer_parts(dispatch, task);
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -99,6 +99,7 @@
 	const struct wv_task *first = ((const struct wv_shard *)a)->task;
 	const struct wv_task *second = ((const struct wv_shard *)b)->task;
 
+	(void)data;
 	if (first->route->rank != second->route->rank)
 		return first->route->rank < second->route->rank ? -1 : 1;
 	if (first->deadline == second->deadline)
@@ -147,6 +148,7 @@
 dispatch_give_up(
     struct wv_dispatch *dispatch, struct wv_shard *shard, enum wv_reason reason)
 {
+	(void)dispatch;
 	if (shard->settled)
 		return;
 	stop_waiting(shard);
--- a/src/peers.c
+++ b/src/peers.c
@@ -226,6 +226,7 @@
 static gboolean
 is_forgotten(gpointer key, gpointer value, gpointer data)
 {
+	(void)key;
 	return *(const wv_msec *)data - ((struct peer *)value)->heard_at >
 	    KEPT_FOR;
 }
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -158,6 +158,7 @@
 static inline void
 world_drop(struct wv_dispatch_ops *ops, void *message)
 {
+	(void)message;
 	((struct world *)ops)->messages--;
 }
 
--- a/test/test_dispatch_load.c
+++ b/test/test_dispatch_load.c
@@ -139,6 +139,7 @@
 static void
 flood(struct world *world, unsigned i)
 {
+	(void)i;
 	world->work = 60;
 }
 
