--- a/entry/server.c
+++ b/entry/server.c
@@ -219,6 +219,21 @@
 	begin_writing(conn);
 }
 
+void
+server_cut(struct server_conn *conn)
+{
+	conn_close(conn);
+}
+
+void
+server_answer_bytes(
+    struct server_conn *conn, struct wv_string bytes, bool close_after)
+{
+	conn->close_after |= close_after;
+	g_string_append_len(conn->out, bytes.data, (gssize)bytes.length);
+	begin_writing(conn);
+}
+
 void
 server_answer_text(struct server_conn *conn, unsigned status, const char *text)
 {
--- a/entry/server.h
+++ b/entry/server.h
@@ -81,6 +81,13 @@
 void server_answer(struct server_conn *conn, unsigned status,
     const GString *fields, struct wv_string body);
 
+/** Ends the connection of the request in progress without an answer. */
+void server_cut(struct server_conn *conn);
+
+/** Answers with bytes as they are; then closes if that is asked for. */
+void server_answer_bytes(
+    struct server_conn *conn, struct wv_string bytes, bool close_after);
+
 /** Answers with a short text. */
 void server_answer_text(
     struct server_conn *conn, unsigned status, const char *text);
--- /dev/null
+++ b/soak/callers.c
@@ -0,0 +1,377 @@
+/**
+ * @file
+ * Callers of the soak: they ask for addresses, send searches and orders, and
+ * check every answer.
+ */
+#include <string.h>
+
+#include "entry/dialect.h"
+#include "entry/socket.h"
+#include "http/json.h"
+#include "soak/soak.h"
+#include "wisteriavane/gather.h"
+
+/** Time between two requests of a caller, ms. */
+#define PAUSE_LEAST 20
+#define PAUSE_MOST 90
+/** One in so many requests is an order. */
+#define ORDER_EVERY 4
+/** One in so many requests is given up early. */
+#define LEAVE_EVERY 40
+/** How long a caller keeps addresses, ms. */
+#define ADDRESSES_KEPT 1500.0
+/** Time past the deadline by which an undisturbed VM has answered, ms. */
+#define ANSWER_SLACK 400.0
+/** Records of an answer. */
+#define TOP_K 10
+
+/* What a caller does at the moment. */
+enum step { STEP_PAUSE, STEP_ADDRESSES, STEP_REQUEST };
+
+struct caller {
+	struct soak *soak;
+	unsigned number;
+	unsigned count;
+	enum step step;
+	struct client *client;
+	struct event *timer;
+	struct soak_vm *vm;
+	GPtrArray *addresses; /* owned texts */
+	wv_msec addresses_at;
+	wv_msec sent_at;
+	bool order;
+	bool leaves;
+	bool planned_only; /* the VM was undisturbed when it was sent */
+	char id[32];
+};
+
+static void
+set_timer(struct caller *caller, wv_msec delay)
+{
+	struct timeval time = socket_timeval(delay);
+
+	event_add(caller->timer, &time);
+}
+
+static void
+rest(struct caller *caller)
+{
+	if (caller->client != NULL)
+		client_destroy(caller->client);
+	caller->client = NULL;
+	caller->step = STEP_PAUSE;
+	set_timer(caller,
+	    g_rand_int_range(caller->soak->random, PAUSE_LEAST, PAUSE_MOST));
+}
+
+static void
+add_sample(struct caller *caller, unsigned status, double coverage)
+{
+	struct soak *soak = caller->soak;
+	wv_msec now = soak_now(soak);
+	struct soak_sample sample = {
+	    now - soak->started_at, now - caller->sent_at, status, coverage};
+	bool served = status == 200;
+
+	g_array_append_val(soak->samples, sample);
+	soak->requests++;
+	soak->served += served;
+	soak->refused += status == 503;
+	soak->failed += status != 200 && status != 503;
+	if (caller->sent_at < soak->ends_at + 3000)
+		return;
+	soak->late_requests++;
+	soak->late_served += served;
+}
+
+/* Reads "sSERVICE.SEARCHER.REQUEST"; returns the service or -1. */
+static int
+service_of(const struct caller *caller, const char *signature)
+{
+	char **parts = g_strsplit(signature, ".", 3);
+	int service = -1;
+
+	if (g_strv_length(parts) == 3 && parts[0][0] == 's' &&
+	    g_str_equal(parts[2], caller->id))
+		service = (int)g_ascii_strtoll(parts[0] + 1, NULL, 10);
+	g_strfreev(parts);
+	return service;
+}
+
+/* Checks the merged records; returns the number of parts. */
+static size_t
+check_parts(struct caller *caller, const struct message *answer)
+{
+	struct wv_string parts[SOAK_SERVICES];
+	GString *records[SOAK_SERVICES] = {NULL};
+	struct wv_string value = {"", 0};
+	struct wv_string merged;
+	char **signatures;
+	char *text;
+	size_t n = 0;
+
+	message_find(answer, platform_dialect()->part_signatures, &value);
+	text = g_strndup(value.data, value.length);
+	signatures = g_strsplit(text, ", ", 0);
+	for (unsigned i = 0; signatures[i] != NULL; i++) {
+		int service = service_of(caller, signatures[i]);
+
+		if (service < 0 || service >= SOAK_SERVICES - 1 ||
+		    records[service] != NULL) {
+			soak_violation(caller->soak,
+			    "request %s: signature %s is wrong or there twice",
+			    caller->id, signatures[i]);
+			continue;
+		}
+		records[service] =
+		    standin_records((unsigned)service, caller->id);
+		parts[n].data = records[service]->str;
+		parts[n++].length = records[service]->len;
+	}
+	merged = wv_gather(parts, n, TOP_K);
+	if (!wv_string_equal(merged,
+		(struct wv_string){answer->body->str, answer->body->len}))
+		soak_violation(caller->soak,
+		    "request %s: the body is not the merge of %zu parts",
+		    caller->id, n);
+	wv_string_clear(&merged);
+	for (unsigned i = 0; i < SOAK_SERVICES; i++) {
+		if (records[i] != NULL)
+			g_string_free(records[i], TRUE);
+	}
+	g_strfreev(signatures);
+	g_free(text);
+	return n;
+}
+
+static void
+check_search(struct caller *caller, const struct message *answer)
+{
+	struct wv_string value = {"0", 1};
+	uint64_t missing = 0;
+	size_t n = check_parts(caller, answer);
+
+	message_find(answer, platform_dialect()->missing_parts, &value);
+	message_parse_number(value, &missing);
+	if (n + missing != SOAK_SERVICES - 1 || n * 2 < SOAK_SERVICES - 1)
+		soak_violation(caller->soak,
+		    "request %s: %zu parts and %u missing", caller->id, n,
+		    (unsigned)missing);
+	add_sample(caller, 200, (double)n / (SOAK_SERVICES - 1));
+}
+
+static void
+check_order(struct caller *caller, const struct message *answer)
+{
+	GString *records = standin_records(SOAK_SERVICES - 1, caller->id);
+	struct wv_string value = {"", 0};
+	char *signature;
+
+	message_find(answer, platform_dialect()->signature, &value);
+	signature = g_strndup(value.data, value.length);
+	if (service_of(caller, signature) != SOAK_SERVICES - 1 ||
+	    !g_string_equal(records, answer->body))
+		soak_violation(caller->soak,
+		    "order %s: the answer of %s is not its own", caller->id,
+		    signature);
+	g_free(signature);
+	g_string_free(records, TRUE);
+	add_sample(caller, 200, 1);
+}
+
+static void
+check_answer(struct caller *caller, const struct message *answer)
+{
+	struct soak *soak = caller->soak;
+
+	if (answer->status == 200) {
+		if (caller->order)
+			check_order(caller, answer);
+		else
+			check_search(caller, answer);
+		return;
+	}
+	add_sample(caller, answer->status, 0);
+	if (answer->status == 503 && caller->order)
+		g_ptr_array_add(soak->not_run, g_strdup(caller->id));
+	if (answer->status == 503 &&
+	    message_find(answer, "retry-after", NULL) != 1)
+		soak_violation(
+		    soak, "request %s: refused without a time", caller->id);
+	if (answer->status != 503 && answer->status != 502 &&
+	    answer->status != 504 && answer->status != 500)
+		soak_violation(
+		    soak, "request %s: status %u", caller->id, answer->status);
+}
+
+static void
+take_addresses(struct caller *caller, const struct message *answer)
+{
+	struct wv_string body = {answer->body->str, answer->body->len};
+	struct wv_status status = {0};
+	JsonNode *root = wv_json_parse(body, &status);
+	JsonArray *list;
+
+	if (root == NULL)
+		return;
+	list = wv_json_array(json_node_get_object(root), "addrs");
+	g_ptr_array_set_size(caller->addresses, 0);
+	for (guint i = 0; list != NULL && i < json_array_get_length(list); i++)
+		g_ptr_array_add(caller->addresses,
+		    g_strdup(json_array_get_string_element(list, i)));
+	caller->addresses_at = soak_now(caller->soak);
+	json_node_unref(root);
+}
+
+static bool
+on_answer(void *data, struct client *client, struct message *answer)
+{
+	struct caller *caller = data;
+
+	(void)client;
+	if (caller->step == STEP_ADDRESSES)
+		take_addresses(caller, answer);
+	else
+		check_answer(caller, answer);
+	message_destroy(answer);
+	rest(caller);
+	return true;
+}
+
+static bool
+is_disturbed(const struct caller *caller)
+{
+	const struct soak_vm *vm = caller->vm;
+
+	return !caller->planned_only || vm == NULL || vm->pid == 0 ||
+	    vm->paused || caller->sent_at < vm->disturbed_until;
+}
+
+static void
+on_end(void *data, struct client *client, enum client_end end)
+{
+	struct caller *caller = data;
+
+	if (caller->step == STEP_REQUEST) {
+		bool sent = !client_untouched(client);
+
+		/* Also while it stops, a VM answers what it has read. */
+		if (end == CLIENT_GARBLED)
+			soak_violation(caller->soak,
+			    "request %s: bytes that are no answer", caller->id);
+		else if (end == CLIENT_CLOSED && sent &&
+		    !is_disturbed(caller) && !caller->vm->stopping)
+			soak_violation(caller->soak,
+			    "request %s: cut by %s, which was undisturbed",
+			    caller->id, caller->vm->name);
+		add_sample(caller, 0, 0);
+	}
+	rest(caller);
+}
+
+static const struct client_ops ops = {on_answer, on_end};
+
+static struct soak_vm *
+find_vm(struct soak *soak, const char *callers)
+{
+	for (unsigned i = 0; i < soak->n_vms; i++) {
+		if (g_str_equal(soak->vms[i].callers, callers))
+			return &soak->vms[i];
+	}
+	return NULL;
+}
+
+static void
+send_text(struct caller *caller, const char *address, GString *text)
+{
+	caller->client =
+	    client_create(caller->soak->base, address, &ops, caller);
+	client_send(
+	    caller->client, (struct wv_string){text->str, text->len}, false);
+	caller->sent_at = soak_now(caller->soak);
+	g_string_free(text, TRUE);
+}
+
+static void
+ask_addresses(struct caller *caller)
+{
+	struct soak *soak = caller->soak;
+	unsigned i =
+	    (unsigned)g_rand_int_range(soak->random, 0, (gint32)soak->n_vms);
+	GString *text = standin_address_query();
+
+	caller->step = STEP_ADDRESSES;
+	send_text(caller, soak->vms[i].addresses, text);
+	set_timer(caller, 500);
+}
+
+static void
+send_request(struct caller *caller)
+{
+	struct soak *soak = caller->soak;
+	guint i = (guint)g_rand_int_range(
+	    soak->random, 0, (gint32)caller->addresses->len);
+	const char *address = caller->addresses->pdata[i];
+	GString *text = g_string_new(NULL);
+
+	caller->vm = find_vm(soak, address);
+	caller->order = g_rand_int_range(soak->random, 0, ORDER_EVERY) == 0;
+	caller->leaves = g_rand_int_range(soak->random, 0, LEAVE_EVERY) == 0;
+	g_snprintf(caller->id, sizeof(caller->id), "%x-%u-%u", soak->seed,
+	    caller->number, ++caller->count);
+	g_string_append_printf(text,
+	    "%s /%s/q?n=%u HTTP/1.1\r\nHost: maps.example\r\n"
+	    "%s: %s\r\n%s: %d\r\n",
+	    caller->order ? "POST" : "GET", caller->order ? "order" : "search",
+	    caller->count, platform_dialect()->request_id, caller->id,
+	    platform_dialect()->deadline, SOAK_DEADLINE);
+	g_string_append(
+	    text, caller->order ? "Content-Length: 4\r\n\r\nmaps" : "\r\n");
+	caller->step = STEP_REQUEST;
+	send_text(caller, address, text);
+	caller->planned_only = caller->vm != NULL && !caller->vm->paused &&
+	    caller->sent_at >= caller->vm->disturbed_until;
+	set_timer(caller, caller->leaves ? 15 : SOAK_DEADLINE + ANSWER_SLACK);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *data)
+{
+	struct caller *caller = data;
+	struct soak *soak = caller->soak;
+
+	(void)fd;
+	(void)what;
+	if (caller->step == STEP_REQUEST) {
+		if (!caller->leaves && !is_disturbed(caller) &&
+		    client_connected(caller->client))
+			soak_violation(soak,
+			    "request %s: no answer from %s after %d ms",
+			    caller->id, caller->vm->name,
+			    (int)(SOAK_DEADLINE + ANSWER_SLACK));
+		if (!caller->leaves)
+			add_sample(caller, 0, 0);
+		rest(caller);
+	} else if (caller->step == STEP_ADDRESSES) {
+		rest(caller);
+	} else if (caller->addresses->len == 0 ||
+	    soak_now(soak) - caller->addresses_at > ADDRESSES_KEPT) {
+		ask_addresses(caller);
+	} else {
+		send_request(caller);
+	}
+}
+
+void
+soak_callers_start(struct soak *soak, unsigned n)
+{
+	for (unsigned i = 0; i < n; i++) {
+		struct caller *caller = g_new0(struct caller, 1);
+
+		caller->soak = soak;
+		caller->number = i;
+		caller->addresses = g_ptr_array_new_with_free_func(g_free);
+		caller->timer = event_new(soak->base, -1, 0, on_timer, caller);
+		rest(caller);
+	}
+}
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,313 @@
+/**
+ * @file
+ * wisteriavane-soak: runs entry VMs as processes under random faults and
+ * checks what callers and searchers see.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "daemon/system_clock.h"
+#include "entry/socket.h"
+#include "soak/soak.h"
+#include "standin/common/ports.h"
+
+/** Time for the VMs to start, and to settle after the last fault, ms. */
+#define START_UP 2500.0
+#define SETTLE 7500.0
+/** Time between looks at the processes, ms. */
+#define LOOK 20
+/** Ports of each VM. */
+#define VM_PORTS 6
+/** Least part of requests served once all faults have ended. */
+#define SERVED_LEAST 0.95
+
+struct options {
+	unsigned first;
+	unsigned last;
+	double seconds;
+	unsigned vms;
+	const char *report;
+};
+
+wv_msec
+soak_now(struct soak *soak)
+{
+	return wv_clock_now(&soak->clock);
+}
+
+static void
+append_line(struct soak *soak, GString *out, const char *format, va_list args)
+{
+	g_string_append_printf(
+	    out, "%.0f ms: ", soak_now(soak) - soak->started_at);
+	g_string_append_vprintf(out, format, args);
+	g_string_append_c(out, '\n');
+}
+
+void
+soak_violation(struct soak *soak, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	append_line(soak, soak->violations, format, args);
+	va_end(args);
+	soak->n_violations++;
+}
+
+void
+soak_mark(struct soak *soak, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	append_line(soak, soak->marks, format, args);
+	va_end(args);
+}
+
+static void
+write_settings(const struct soak_vm *vm, const unsigned int *ports)
+{
+	char *text = g_strdup_printf(
+	    "{\"vm\":\"%s\",\"zone\":\"z1\",\"callers\":\"%s\","
+	    "\"addresses\":\"%s\",\"readiness\":\"127.0.0.1:%u\","
+	    "\"peers\":\"127.0.0.1:%u\",\"metrics\":\"127.0.0.1:%u\","
+	    "\"store\":\"%s\",\"capacity\":0.5,\"retry_ratio\":0.2,"
+	    "\"retry_slack\":60,\"retry_window_s\":10,\"stop_s\":4,"
+	    "\"address_lifetime_s\":0.5}",
+	    vm->name, vm->callers, vm->addresses, ports[2], ports[3], ports[4],
+	    proxy_address(vm->store));
+
+	g_file_set_contents(vm->settings, text, -1, NULL);
+	g_free(text);
+}
+
+static void
+create_vm(struct soak *soak, struct soak_vm *vm, unsigned i,
+    const unsigned int *ports, const char *store)
+{
+	char *address = g_strdup_printf("127.0.0.1:%u", ports[5]);
+
+	vm->name = g_strdup_printf("vm%u", i);
+	vm->settings = g_strdup_printf("%s/vm%u.json", soak->dir, i);
+	vm->callers = g_strdup_printf("127.0.0.1:%u", ports[0]);
+	vm->addresses = g_strdup_printf("127.0.0.1:%u", ports[1]);
+	vm->store = proxy_create(soak->base, address, store);
+	write_settings(vm, ports);
+	soak_vm_start(soak, vm);
+	g_free(address);
+}
+
+static void
+create_links(struct soak *soak, const unsigned int *ports)
+{
+	for (unsigned i = 0; i < SOAK_SERVICES * SOAK_REPLICAS; i++) {
+		char *address = g_strdup_printf("127.0.0.1:%u", ports[i]);
+		char *id = g_strdup_printf(
+		    "i-%u-%u", i / SOAK_REPLICAS, i % SOAK_REPLICAS);
+		char service[16];
+
+		g_snprintf(service, sizeof(service), "s%u", i / SOAK_REPLICAS);
+		soak->links[i] = proxy_create(soak->base, address,
+		    standin_searchers_address(
+			soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS));
+		soak->incarnations[i] = 1;
+		standin_store_write(soak->store, STANDIN_SEARCHERS, id,
+		    standin_searcher_entry(service, address, 1, false));
+		g_free(id);
+		g_free(address);
+	}
+}
+
+static void
+create_world(struct soak *soak)
+{
+	unsigned n_links = SOAK_SERVICES * SOAK_REPLICAS;
+	unsigned n = 1 + n_links + soak->n_vms * VM_PORTS;
+	unsigned int *ports = g_new0(unsigned int, n);
+	char *store;
+
+	if (!standin_free_ports(ports, n))
+		exit(EXIT_FAILURE);
+	store = g_strdup_printf("127.0.0.1:%u", ports[0]);
+	soak->shape =
+	    (struct standin_shape){SOAK_SERVICES, SOAK_REPLICAS, 4, 8};
+	soak->store = standin_store_create(soak->base, store);
+	soak->searchers = standin_searchers_create(soak->base, &soak->shape);
+	soak->version = 1;
+	standin_store_write(soak->store, STANDIN_ROUTES, STANDIN_ROUTES_NAME,
+	    standin_routes(&soak->shape, soak->version, 1500));
+	create_links(soak, ports + 1);
+	for (unsigned i = 0; i < soak->n_vms; i++)
+		create_vm(soak, &soak->vms[i], i,
+		    ports + 1 + n_links + (size_t)i * VM_PORTS, store);
+	g_free(store);
+	g_free(ports);
+}
+
+/* An event loop is told to look at the processes now and then. */
+struct look {
+	struct soak *soak;
+	struct event *timer;
+	wv_msec until;
+};
+
+static void
+on_look(evutil_socket_t fd, short what, void *data)
+{
+	struct timeval time = socket_timeval(LOOK);
+	struct look *look = data;
+
+	(void)fd;
+	(void)what;
+	soak_vms_check(look->soak);
+	if (soak_now(look->soak) >= look->until)
+		event_base_loopbreak(look->soak->base);
+	else
+		event_add(look->timer, &time);
+}
+
+static void
+run_until(struct soak *soak, wv_msec until)
+{
+	struct look look = {soak, NULL, until};
+
+	look.timer = event_new(soak->base, -1, 0, on_look, &look);
+	event_active(look.timer, EV_TIMEOUT, 0);
+	event_base_dispatch(soak->base);
+	event_free(look.timer);
+}
+
+/* What must hold of the whole run. */
+static void
+check_run(struct soak *soak)
+{
+	JsonObject *report = standin_searchers_report(soak->searchers);
+	gint64 twice = json_object_get_int_member(report, "twice");
+
+	if (twice > 0)
+		soak_violation(
+		    soak, "%d orders ran more than once", (int)twice);
+	for (guint i = 0; i < soak->not_run->len; i++) {
+		if (standin_searchers_runs(
+			soak->searchers, soak->not_run->pdata[i]) > 0)
+			soak_violation(soak,
+			    "order %s was refused as not run and has run",
+			    (char *)soak->not_run->pdata[i]);
+	}
+	if (soak->late_served < SERVED_LEAST * soak->late_requests ||
+	    soak->late_requests == 0)
+		soak_violation(soak,
+		    "%u of %u requests were served after the last fault",
+		    soak->late_served, soak->late_requests);
+	json_object_unref(report);
+}
+
+static void
+end_vms(struct soak *soak)
+{
+	for (unsigned i = 0; i < soak->n_vms; i++) {
+		if (soak->vms[i].pid == 0)
+			continue;
+		kill(soak->vms[i].pid, SIGKILL);
+		waitpid(soak->vms[i].pid, NULL, 0);
+	}
+}
+
+static bool
+run(const struct options *options, uint32_t seed)
+{
+	struct soak soak = {.seed = seed, .n_vms = options->vms};
+	char *dir = g_strdup("/tmp/wisteriavane-soak-XXXXXX");
+
+	system_clock_init(&soak.clock);
+	soak.dir = g_mkdtemp(dir);
+	soak.base = event_base_new();
+	soak.random = g_rand_new_with_seed(seed);
+	soak.violations = g_string_new(NULL);
+	soak.marks = g_string_new(NULL);
+	soak.samples = g_array_new(FALSE, FALSE, sizeof(struct soak_sample));
+	soak.not_run = g_ptr_array_new_with_free_func(g_free);
+	soak.started_at = soak_now(&soak);
+	create_world(&soak);
+	run_until(&soak, soak_now(&soak) + START_UP);
+	soak.ends_at = soak_now(&soak) + options->seconds * 1000;
+	soak_callers_start(&soak, 24);
+	soak_faults_start(&soak);
+	run_until(&soak, soak.ends_at + SETTLE);
+	check_run(&soak);
+	end_vms(&soak);
+	printf("seed %u: %u requests, %u served, %u refused, %u failed, "
+	       "%u violations%s%s\n%s",
+	    seed, soak.requests, soak.served, soak.refused, soak.failed,
+	    soak.n_violations, soak.n_violations > 0 ? ", logs in " : "",
+	    soak.n_violations > 0 ? soak.dir : "", soak.violations->str);
+	fflush(stdout);
+	if (options->report != NULL)
+		soak_report_write(&soak, options->report);
+	g_free(dir);
+	return soak.n_violations == 0;
+}
+
+static const struct argp_option argp_options[] = {
+    {"seeds", 's', "FIRST-LAST", 0, "seeds of the runs (1-1)", 0},
+    {"seconds", 't', "S", 0, "time with faults of each run (8)", 0},
+    {"vms", 'n', "N", 0, "entry VMs, 8 at most (4)", 0},
+    {"report", 'r', "FILE", 0, "write a page with plots of the last run", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct options *options = state->input;
+	char *rest = NULL;
+
+	switch (key) {
+	case 's':
+		options->first = (unsigned)strtoul(arg, &rest, 10);
+		options->last = options->first;
+		if (*rest == '-')
+			options->last = (unsigned)strtoul(rest + 1, NULL, 10);
+		return 0;
+	case 't':
+		options->seconds = g_ascii_strtod(arg, NULL);
+		return 0;
+	case 'n':
+		options->vms = MIN((unsigned)strtoul(arg, NULL, 10), SOAK_VMS);
+		return 0;
+	case 'r':
+		options->report = arg;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct argp argp = {argp_options, parse_option, NULL,
+	    "Checks entry VMs under random faults. The variable WV_BUILD_DIR "
+	    "names the folder with the program.",
+	    NULL, NULL, NULL};
+	struct options options = {
+	    .first = 1, .last = 1, .seconds = 8, .vms = 4};
+	unsigned failed = 0;
+	unsigned passed = 0;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &options);
+	signal(SIGPIPE, SIG_IGN);
+	for (unsigned seed = options.first; seed <= options.last; seed++) {
+		if (run(&options, seed))
+			passed++;
+		else
+			failed++;
+	}
+	printf("%u passed, %u failed\n", passed, failed);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
