Treat paces that differ by chance as equal

Cause: one replica whose recent pace was slightly better got nearly all requests of a VM (seen in the soak: a searcher that answered garbage for a second was never asked). Paces below 1.5 now cost the same.

--- a/soak/main.c
+++ b/soak/main.c
@@ -20,6 +20,8 @@
 #define SETTLE 7500.0
 /** Time between looks at the processes, ms. */
 #define LOOK 20
+/** Broken promises that are shown of a run. */
+#define VIOLATIONS_SHOWN 20
 /** Ports of each VM. */
 #define VM_PORTS 6
 /** Least part of requests served once all faults have ended. */
@@ -31,6 +33,7 @@
 	double seconds;
 	unsigned vms;
 	const char *report;
+	const char *program;
 };
 
 wv_msec
@@ -53,10 +56,11 @@
 {
 	va_list args;
 
+	if (soak->n_violations++ >= VIOLATIONS_SHOWN)
+		return;
 	va_start(args, format);
 	append_line(soak, soak->violations, format, args);
 	va_end(args);
-	soak->n_violations++;
 }
 
 void
@@ -221,7 +225,8 @@
 static bool
 run(const struct options *options, uint32_t seed)
 {
-	struct soak soak = {.seed = seed, .n_vms = options->vms};
+	struct soak soak = {
+	    .seed = seed, .n_vms = options->vms, .program = options->program};
 	char *dir = g_strdup("/tmp/wisteriavane-soak-XXXXXX");
 
 	system_clock_init(&soak.clock);
@@ -258,6 +263,7 @@
     {"seconds", 't', "S", 0, "time with faults of each run (8)", 0},
     {"vms", 'n', "N", 0, "entry VMs, 8 at most (4)", 0},
     {"report", 'r', "FILE", 0, "write a page with plots of the last run", 0},
+    {"program", 'p', "FILE", 0, "the server (build/wisteriavane-entry)", 0},
     {0},
 };
 
@@ -283,6 +289,9 @@
 	case 'r':
 		options->report = arg;
 		return 0;
+	case 'p':
+		options->program = arg;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -292,11 +301,12 @@
 main(int argc, char **argv)
 {
 	static const struct argp argp = {argp_options, parse_option, NULL,
-	    "Checks entry VMs under random faults. The variable WV_BUILD_DIR "
-	    "names the folder with the program.",
-	    NULL, NULL, NULL};
-	struct options options = {
-	    .first = 1, .last = 1, .seconds = 8, .vms = 4};
+	    "Checks entry VMs under random faults.", NULL, NULL, NULL};
+	struct options options = {.first = 1,
+	    .last = 1,
+	    .seconds = 8,
+	    .vms = 4,
+	    .program = "build/wisteriavane-entry"};
 	unsigned failed = 0;
 	unsigned passed = 0;
 
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -156,6 +156,7 @@
 	if (from < 0)
 		return;
 	evutil_make_socket_nonblocking(from);
+	evutil_make_socket_closeonexec(from);
 	socket_set_no_delay(from);
 	to = proxy->mode == PROXY_RESET ? -1 : socket_connect(proxy->target);
 	if (to < 0) {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -43,7 +43,8 @@
 	struct wv_clock clock;
 	GRand *random;
 	uint32_t seed;
-	char *dir;
+	const char *program; /**< path of wisteriavane-entry */
+	char *dir; /**< owned: settings and logs */
 	unsigned n_vms;
 	struct soak_vm vms[SOAK_VMS];
 	struct standin_shape shape;
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -5,7 +5,6 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
-#include <stdlib.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,6 +12,8 @@
 
 /** Time after a start within which requests may fail, ms. */
 #define START_DISTURBS 1500.0
+/** Exit code of a child whose program could not be run. */
+#define EXIT_NO_PROGRAM 127
 /** Pause between the end of a process and its restart, ms. */
 #define RESTART_PAUSE 200.0
 
@@ -20,23 +21,20 @@
 soak_vm_start(struct soak *soak, struct soak_vm *vm)
 {
 	char *log = g_strdup_printf("%s/%s.log", soak->dir, vm->name);
-	char *program =
-	    g_strdup_printf("%s/wisteriavane-entry", getenv("WV_BUILD_DIR"));
 
 	vm->pid = fork();
 	if (vm->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 		dup2(fd, STDOUT_FILENO);
-		execl(
-		    program, program, "--settings", vm->settings, (char *)NULL);
-		_exit(127);
+		execl(soak->program, soak->program, "--settings", vm->settings,
+		    (char *)NULL);
+		_exit(EXIT_NO_PROGRAM);
 	}
 	vm->stopping = false;
 	vm->paused = false;
 	vm->restart_at = 0;
 	vm->disturbed_until = soak_now(soak) + START_DISTURBS;
-	g_free(program);
 	g_free(log);
 }
 
--- a/src/view.c
+++ b/src/view.c
@@ -26,6 +26,8 @@
 /** First and longest delay between probes of a lost searcher, ms. */
 #define PROBE_DELAY_FIRST 250.0
 #define PROBE_DELAY_MOST 1500.0
+/** Paces below this one differ by chance only. */
+#define PACE_USUAL 1.5
 /** Slowest pace that is told apart. */
 #define PACE_MOST 50.0
 
@@ -145,7 +147,8 @@
 double
 wv_view_cost(const struct wv_view *view, wv_msec now, double load)
 {
-	double cost = (1 + load) * fmax(faded_pace(view, now), 0.5);
+	double pace = faded_pace(view, now);
+	double cost = (1 + load) * (pace < PACE_USUAL ? 1 : pace);
 
 	cost *= 1 + TROUBLE_COST * faded_trouble(view, now);
 	if (now < view->cold_until)
