--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,8 +8,6 @@
 
 /** Divisor of connections while the store has not listed the VMs. */
 #define DIVISOR_UNLISTED 16.0
-/** Part of connections and slack for the VMs that callers are sent to. */
-#define PREFERRED_SHARE 0.8
 /** Part of the slack that is divided; views of the membership may differ. */
 #define SLACK_USED 0.7
 
@@ -43,17 +41,6 @@
 	    routes->version, before, routes->n_routes);
 }
 
-/* The part of a fleet-wide number that this VM may use, as a divisor. */
-static double
-divisor(const struct wv_peer_standing *standing)
-{
-	if (standing->preferred == standing->vms)
-		return standing->vms;
-	if (standing->is_preferred)
-		return standing->preferred / PREFERRED_SHARE;
-	return (standing->vms - standing->preferred) / (1 - PREFERRED_SHARE);
-}
-
 void
 entry_set_terms(struct entry *entry)
 {
@@ -61,19 +48,19 @@
 	wv_msec window = settings->retry_window_s * 1000;
 	struct wv_peer_standing standing = wv_peers_standing(
 	    entry->peers, entry_now(entry), store_sync_failed(entry->store));
-	double share = divisor(&standing);
+	double divisor = wv_peers_divisor(&standing);
 	struct wv_dispatch_terms terms = {
 	    .allowance =
 		{
 		    .ratio = settings->retry_ratio,
 		    .slack = entry->vms_listed
-			? settings->retry_slack * SLACK_USED / share
+			? settings->retry_slack * SLACK_USED / divisor
 			: 0,
 		    .window = window,
 		    .slack_from = entry->started_at + window,
 		},
-	    .divisor =
-		entry->vms_listed ? share : fmax(share, DIVISOR_UNLISTED),
+	    .divisor = WV_PEERS_CONNECTIONS_RESERVE *
+		(entry->vms_listed ? divisor : fmax(divisor, DIVISOR_UNLISTED)),
 	};
 
 	wv_dispatch_set_terms(entry->dispatch, &terms);
--- a/src/peers.c
+++ b/src/peers.c
@@ -24,6 +24,8 @@
 #define PREFERRED_PART 0.6
 /** Fewer strong VMs than this are not enough; then all are named. */
 #define PREFERRED_LEAST 3
+/** Part of what is divided for the VMs that callers are sent to. */
+#define PREFERRED_SHARE 0.8
 /** VMs that follow the store; the others hear of changes from them. */
 #define WATCHERS 3
 
@@ -296,6 +298,16 @@
 	return standing;
 }
 
+double
+wv_peers_divisor(const struct wv_peer_standing *standing)
+{
+	if (standing->preferred == standing->vms)
+		return standing->vms;
+	if (standing->is_preferred)
+		return standing->preferred / PREFERRED_SHARE;
+	return (standing->vms - standing->preferred) / (1 - PREFERRED_SHARE);
+}
+
 unsigned
 wv_peers_alive(const struct wv_peers *peers, wv_msec now)
 {
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -171,6 +171,41 @@
 	wv_peers_destroy(peers);
 }
 
+/* Sum over all VMs of the connections to one searcher that each may use. */
+static unsigned
+sum_connections(unsigned strong, unsigned weak, unsigned cap)
+{
+	unsigned sum = 0;
+
+	for (unsigned i = 0; i < strong + weak; i++) {
+		struct wv_peer_standing standing = {
+		    .vms = strong + weak,
+		    .preferred = strong > 0 ? strong : weak,
+		    .is_preferred = strong == 0 || i < strong,
+		};
+		double part = cap / wv_peers_divisor(&standing) /
+		    WV_PEERS_CONNECTIONS_RESERVE;
+
+		sum += MAX((unsigned)part, 1);
+	}
+	return sum;
+}
+
+/*
+ * All VMs lose power: searchers still count the connections of the processes
+ * before, and the new ones stay within the cap beside them.
+ */
+static void
+test_connections_after_loss(void)
+{
+	g_assert_cmpuint(2 * sum_connections(0, 9, 26), <=, 26);
+	g_assert_cmpuint(2 * sum_connections(0, 9, 41), <=, 41);
+	g_assert_cmpuint(2 * sum_connections(0, 13, 37), <=, 37);
+	g_assert_cmpuint(2 * sum_connections(0, 9, 110), <=, 110);
+	g_assert_cmpuint(sum_connections(0, 9, 110), >=, 110 / 2 - 9);
+	g_assert_cmpuint(2 * sum_connections(8, 56, 440), <=, 440);
+}
+
 static void
 test_ahead(void)
 {
@@ -199,6 +234,8 @@
 	g_test_add_func("/peers/preferred", test_preferred);
 	g_test_add_func("/peers/watchers", test_watchers);
 	g_test_add_func("/peers/failed-watcher", test_failed_watcher);
+	g_test_add_func(
+	    "/peers/connections-after-loss", test_connections_after_loss);
 	g_test_add_func("/peers/ahead", test_ahead);
 	return g_test_run();
 }
--- a/wisteriavane/peers.h
+++ b/wisteriavane/peers.h
@@ -77,6 +77,16 @@
 struct wv_peer_standing wv_peers_standing(
     const struct wv_peers *peers, wv_msec now, bool store_failed);
 
+/** Returns the divisor of a fleet-wide number that gives this VM's part. */
+double wv_peers_divisor(const struct wv_peer_standing *standing);
+
+/**
+ * Searchers don't notice at once that a VM was lost, and its connections count
+ * until then. With half of the cap in reserve, all VMs may start anew: a VM
+ * uses its part of the cap divided by this.
+ */
+#define WV_PEERS_CONNECTIONS_RESERVE 2.0
+
 /** Returns how many other VMs are alive. */
 unsigned wv_peers_alive(const struct wv_peers *peers, wv_msec now);
 
