--- a/src/peers.c
+++ b/src/peers.c
@@ -25,7 +25,7 @@
 /** Fewer strong VMs than this are not enough; then all are named. */
 #define PREFERRED_LEAST 3
 /** Part of what is divided for the VMs that callers are sent to. */
-#define PREFERRED_SHARE 0.8
+#define PREFERRED_SHARE 0.7
 /** VMs that follow the store; the others hear of changes from them. */
 #define WATCHERS 3
 
