Let sound searchers go first while others reject; let a retry wait for room

After rejections or reported failures in a row a searcher is held for 5 to 320 ms, and a retry waits for room like a first attempt, within the allowance.

--- a/src/dispatch_pick.c
+++ b/src/dispatch_pick.c
@@ -71,6 +71,50 @@
 	return result * (1 + JITTER * random_part(dispatch));
 }
 
+/* The best searchers of a service, by what speaks against them. */
+struct choice {
+	struct wv_searcher *best;
+	struct wv_searcher *held; /* has just rejected requests */
+	struct wv_searcher *probe; /* lost */
+	double least; /* cost of the best one */
+	double least_held;
+	bool wait; /* a sound one has no room now */
+};
+
+static void
+keep_cheaper(struct wv_searcher **best, double *least,
+    struct wv_searcher *searcher, double c)
+{
+	if (*best != NULL && c >= *least)
+		return;
+	*best = searcher;
+	*least = c;
+}
+
+static void
+consider(struct wv_dispatch *dispatch, wv_msec now, enum purpose purpose,
+    unsigned share, struct wv_searcher *searcher, struct choice *choice)
+{
+	bool held = wv_view_held(&searcher->view, now);
+	double c;
+
+	if (searcher->outstanding >= share) {
+		choice->wait |= !held && !searcher->view.lost;
+		return;
+	}
+	if (searcher->view.lost) {
+		choice->probe = searcher;
+		return;
+	}
+	c = cost(dispatch, now, searcher);
+	if (purpose == PURPOSE_HEDGE && c >= OVERDUE_COST)
+		return;
+	if (held)
+		keep_cheaper(&choice->held, &choice->least_held, searcher, c);
+	else
+		keep_cheaper(&choice->best, &choice->least, searcher, c);
+}
+
 struct wv_searcher *
 dispatch_pick(struct wv_dispatch *dispatch, wv_msec now,
     const struct wv_shard *shard, enum purpose purpose)
@@ -78,35 +122,39 @@
 	const struct wv_fleet_service *service = shard->service;
 	unsigned share = connection_share(dispatch, service);
 	bool idempotent = shard->task->route->idempotent;
-	struct wv_searcher *best = NULL;
-	struct wv_searcher *probe = NULL;
-	double least = 0;
+	struct choice choice = {0};
 
 	for (guint i = 0; i < service->searchers->len; i++) {
 		struct wv_searcher *searcher = service->searchers->pdata[i];
-		double c;
-
-		if (searcher->draining || searcher->outstanding >= share ||
-		    was_tried(shard, searcher) ||
-		    !wv_view_usable(&searcher->view, now))
-			continue;
-		if (searcher->view.lost) {
-			probe = searcher;
-			continue;
-		}
-		c = cost(dispatch, now, searcher);
-		if (purpose == PURPOSE_HEDGE && c >= OVERDUE_COST)
-			continue;
-		if (best == NULL || c < least) {
-			best = searcher;
-			least = c;
-		}
+
+		if (!searcher->draining && !was_tried(shard, searcher) &&
+		    wv_view_usable(&searcher->view, now))
+			consider(
+			    dispatch, now, purpose, share, searcher, &choice);
 	}
 	/* A lost searcher is probed by requests that may be repeated. */
-	if (probe != NULL && purpose == PURPOSE_FIRST &&
-	    (best == NULL || (idempotent && shard->task->extra == 0)))
-		return probe;
-	return best;
+	if (choice.probe != NULL && purpose == PURPOSE_FIRST &&
+	    (choice.best == NULL || (idempotent && shard->task->extra == 0)))
+		return choice.probe;
+	if (choice.best == NULL && !choice.wait && purpose == PURPOSE_FIRST)
+		return choice.held;
+	return choice.best;
+}
+
+bool
+dispatch_has_other(const struct wv_shard *shard, wv_msec now)
+{
+	const struct wv_fleet_service *service = shard->service;
+
+	for (guint i = 0; i < service->searchers->len; i++) {
+		const struct wv_searcher *searcher =
+		    service->searchers->pdata[i];
+
+		if (!searcher->draining && !was_tried(shard, searcher) &&
+		    wv_view_usable(&searcher->view, now))
+			return true;
+	}
+	return false;
 }
 
 bool
--- a/src/dispatch_private.h
+++ b/src/dispatch_private.h
@@ -81,6 +81,9 @@
 struct wv_searcher *dispatch_pick(struct wv_dispatch *dispatch, wv_msec now,
     const struct wv_shard *shard, enum purpose purpose);
 
+/** Returns whether a searcher that was not tried may get the part later. */
+bool dispatch_has_other(const struct wv_shard *shard, wv_msec now);
+
 /** Returns whether any searcher of a service may get requests, now or soon. */
 bool dispatch_reachable(const struct wv_fleet_service *service, wv_msec now);
 
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -168,23 +168,32 @@
 	    shard->rejected < REJECTED_MOST;
 }
 
-/* Sends a retry; returns whether it could. */
+/* Takes a further attempt from the allowance if the former one arrived. */
 static bool
-retry(struct wv_dispatch *dispatch, wv_msec now, struct wv_shard *shard,
-    bool arrived)
+may_send(struct wv_dispatch *dispatch, wv_msec now, struct wv_shard *shard)
+{
+	return !shard->arrived ||
+	    wv_allowance_spend(
+		&shard->service->allowance, &dispatch->terms.allowance, now);
+}
+
+/* Sends a retry, or lets it wait for room; returns whether it could. */
+static bool
+retry(struct wv_dispatch *dispatch, wv_msec now, struct wv_shard *shard)
 {
 	struct wv_searcher *searcher;
 
 	if (!may_repeat(shard, now))
 		return false;
 	searcher = dispatch_pick(dispatch, now, shard, PURPOSE_FIRST);
-	if (searcher == NULL)
-		return false;
-	if (arrived &&
-	    !wv_allowance_spend(
-		&shard->service->allowance, &dispatch->terms.allowance, now))
+	if (searcher == NULL && shard->live == 0 &&
+	    dispatch_has_other(shard, now)) {
+		wait_for_room(dispatch, now, shard);
+		return true;
+	}
+	if (searcher == NULL || !may_send(dispatch, now, shard))
 		return false;
-	start_attempt(dispatch, now, shard, searcher, arrived);
+	start_attempt(dispatch, now, shard, searcher, shard->arrived);
 	return true;
 }
 
@@ -269,7 +278,7 @@
 {
 	bool repeat = shard->task->route->idempotent || !has_run(end);
 
-	if (repeat && retry(dispatch, now, shard, end != WV_END_NOT_SENT))
+	if (repeat && retry(dispatch, now, shard))
 		return;
 	if (shard->live == 0)
 		dispatch_give_up(dispatch, shard, reason_of(end));
@@ -285,6 +294,7 @@
 	struct wv_task *task = shard->task;
 	bool relay = task->route->kind == WV_ROUTE_SINGLE;
 
+	shard->arrived |= reply->end != WV_END_NOT_SENT;
 	if (has_run(reply->end)) {
 		task->may_have_run = true;
 	} else {
@@ -322,7 +332,13 @@
 		if (searcher == NULL)
 			return;
 		stop_waiting(shard);
-		start_attempt(dispatch, now, shard, searcher, false);
+		if (may_send(dispatch, now, shard)) {
+			start_attempt(
+			    dispatch, now, shard, searcher, shard->arrived);
+		} else {
+			dispatch_give_up(dispatch, shard, WV_REASON_REJECTED);
+			dispatch_settle(dispatch, now, shard->task);
+		}
 	}
 }
 
--- a/src/view.c
+++ b/src/view.c
@@ -17,6 +17,9 @@
  */
 #define PACE_HALF_LIFE 2500.0
 #define TROUBLE_HALF_LIFE 1500.0
+/** First and longest time that a searcher is held after rejections, ms. */
+#define HOLD_FIRST 5.0
+#define HOLD_MOST 320.0
 /** What a failure costs, as a multiple of a usual request. */
 #define TROUBLE_COST 8.0
 /** Slow-down of a searcher that has just started. */
@@ -83,6 +86,14 @@
 	view->probe_delay = PROBE_DELAY_FIRST;
 }
 
+static void
+hold(struct wv_view *view, wv_msec now)
+{
+	double time = HOLD_FIRST * exp2(view->rejections++);
+
+	view->held_until = now + fmin(time, HOLD_MOST);
+}
+
 static void
 fail(struct wv_view *view, wv_msec now)
 {
@@ -110,6 +121,7 @@
 	switch (end) {
 	case WV_END_ANSWERED:
 		sign_of_life(view);
+		view->rejections = 0;
 		add_pace(view, now, pace);
 		add_trouble(view, now, 0);
 		break;
@@ -117,6 +129,7 @@
 	case WV_END_FAILED:
 		sign_of_life(view);
 		add_trouble(view, now, 1);
+		hold(view, now);
 		break;
 	case WV_END_WRONG_SEARCHER:
 		view->lost = true;
@@ -144,6 +157,12 @@
 	return !view->lost || now >= view->probe_at;
 }
 
+bool
+wv_view_held(const struct wv_view *view, wv_msec now)
+{
+	return now < view->held_until;
+}
+
 double
 wv_view_cost(const struct wv_view *view, wv_msec now, double load)
 {
--- a/test/test_allowance.c
+++ b/test/test_allowance.c
@@ -50,8 +50,8 @@
 		unsigned first = MAX(sum_first(counts, at, at + length),
 		    sum_first(counts, at - length, at));
 
-		first = MAX(first,
-		    sum_first(counts, at - length / 2, at + length / 2));
+		first = MAX(
+		    first, sum_first(counts, at - length / 2, at + length / 2));
 		g_assert_cmpfloat(extra, <=, RATIO * first + SLACK);
 	}
 }
@@ -65,8 +65,8 @@
 	GRand *random = g_rand_new_with_seed(seed);
 
 	for (int vm = 0; vm < VMS; vm++)
-		terms[vm] = (struct wv_allowance_terms){
-		    RATIO, SLACK / VMS, WINDOW, 0};
+		terms[vm] =
+		    (struct wv_allowance_terms){RATIO, SLACK / VMS, WINDOW, 0};
 	for (int i = 0; i < STEPS; i++) {
 		int vm = g_rand_int_range(random, 0, VMS);
 		wv_msec now = 50000 + i * STEP;
--- a/test/test_dispatch_load.c
+++ b/test/test_dispatch_load.c
@@ -21,8 +21,8 @@
 static void
 count(const struct world_result *result, struct figures *figures)
 {
-	bool good = result->kind == WV_RESULT_PARTS ||
-	    result->kind == WV_RESULT_RELAY;
+	bool good =
+	    result->kind == WV_RESULT_PARTS || result->kind == WV_RESULT_RELAY;
 
 	g_assert_true(result->done);
 	figures->served += good;
@@ -33,19 +33,22 @@
 	figures->extra += result->extra;
 }
 
-/* Sends requests at an even pace and calls back before each. */
+/*
+ * Sends requests, so many at once, with pauses that keep the mean rate, and
+ * calls back before each.
+ */
 static struct figures
-run_load(struct world *world, unsigned route,
+run_load(struct world *world, unsigned route, unsigned burst,
     void (*disturb)(struct world *world, unsigned i))
 {
-	struct world_result *results =
-	    g_new0(struct world_result, REQUESTS);
+	struct world_result *results = g_new0(struct world_result, REQUESTS);
 	struct figures figures = {0};
 
 	for (unsigned i = 0; i < REQUESTS; i++) {
 		disturb(world, i);
 		world_submit(world, route, 1500, &results[i]);
-		world_run(world, BETWEEN);
+		if (i % burst == burst - 1)
+			world_run(world, BETWEEN * burst);
 	}
 	world_run(world, 2000);
 	for (unsigned i = 0; i < REQUESTS; i++)
@@ -70,7 +73,7 @@
 	struct world *world = world_create(10, 3, 1);
 	struct figures figures;
 
-	figures = run_load(world, 0, pause_in_turn);
+	figures = run_load(world, 0, 1, pause_in_turn);
 	g_assert_cmpuint(figures.in_target, >=, REQUESTS * 99 / 100);
 	g_assert_cmpuint(figures.full, >=, REQUESTS * 97 / 100);
 	g_assert_cmpuint(figures.extra, <=, REQUESTS * 10 / 5 + 10 * 50);
@@ -89,7 +92,7 @@
 test_stragglers(void)
 {
 	struct world *world = world_create(10, 3, 2);
-	struct figures figures = run_load(world, 0, slow_down);
+	struct figures figures = run_load(world, 0, 1, slow_down);
 
 	g_assert_cmpuint(figures.in_target, >=, REQUESTS * 98 / 100);
 	g_assert_cmpuint(figures.full, >=, REQUESTS * 95 / 100);
@@ -101,16 +104,16 @@
 {
 	/* Two of three searchers of each service reject everything. */
 	for (unsigned k = 0; k < world->n_searchers; k++)
-		world->searchers[k].mode =
-		    i >= 100 && i < 400 && k % 3 != 0 ? WORLD_SHEDDING
-						       : WORLD_SOUND;
+		world->searchers[k].mode = i >= 100 && i < 400 && k % 3 != 0
+		    ? WORLD_SHEDDING
+		    : WORLD_SOUND;
 }
 
 static void
 test_shedding(void)
 {
 	struct world *world = world_create(10, 3, 3);
-	struct figures figures = run_load(world, 0, shed);
+	struct figures figures = run_load(world, 0, 1, shed);
 
 	g_assert_cmpuint(figures.in_target, >=, REQUESTS * 95 / 100);
 	world_destroy(world);
@@ -129,7 +132,7 @@
 test_dark_service(void)
 {
 	struct world *world = world_create(10, 3, 4);
-	struct figures figures = run_load(world, 0, darken_service);
+	struct figures figures = run_load(world, 0, 1, darken_service);
 
 	g_assert_cmpuint(figures.in_target, >=, REQUESTS * 98 / 100);
 	g_assert_cmpuint(figures.full, >=, REQUESTS * 45 / 100);
@@ -151,7 +154,7 @@
 test_flood(void)
 {
 	struct world *world = world_create(1, 1, 5);
-	struct figures figures = run_load(world, 1, flood);
+	struct figures figures = run_load(world, 1, 1, flood);
 
 	g_assert_cmpuint(figures.served + figures.refused, ==, REQUESTS);
 	/* 2 slots, 60 ms each, 6 s: 200 requests. */
@@ -159,6 +162,40 @@
 	world_destroy(world);
 }
 
+static void
+one_left(struct world *world, unsigned i)
+{
+	/* Of each service one searcher is slow and one is shedding. */
+	for (unsigned k = 0; k < world->n_searchers; k++) {
+		if (k % 3 == 1)
+			world->searchers[k].factor = 9;
+		if (k % 3 == 2)
+			world->searchers[k].mode = WORLD_SHEDDING;
+	}
+	world->routes->routes[0].min_ratio = 0.95;
+	world->work = 12;
+	(void)i;
+}
+
+/*
+ * One sound searcher is left of each service and carries bursts of
+ * four requests over two connections. A part that finds no connection free
+ * waits for one; the whole request does not fail for it.
+ */
+static void
+test_one_searcher_left(void)
+{
+	struct world *world = world_create(10, 3, 6);
+	struct wv_dispatch_terms terms = {
+	    .allowance = {0.2, 50, 10000, 0}, .divisor = 4};
+	struct figures figures;
+
+	wv_dispatch_set_terms(world->dispatch, &terms);
+	figures = run_load(world, 0, 4, one_left);
+	g_assert_cmpuint(figures.served, >=, REQUESTS * 95 / 100);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -168,5 +205,6 @@
 	g_test_add_func("/dispatch/load/shedding", test_shedding);
 	g_test_add_func("/dispatch/load/dark-service", test_dark_service);
 	g_test_add_func("/dispatch/load/flood", test_flood);
+	g_test_add_func("/dispatch/load/one-left", test_one_searcher_left);
 	return g_test_run();
 }
--- a/test/test_gather.c
+++ b/test/test_gather.c
@@ -16,8 +16,8 @@
 	    n * WV_RECORD_SIZE + rest};
 
 	for (size_t i = 0; i < n; i++)
-		memset(part.data + i * WV_RECORD_SIZE, letters[i],
-		    WV_RECORD_SIZE);
+		memset(
+		    part.data + i * WV_RECORD_SIZE, letters[i], WV_RECORD_SIZE);
 	memset(part.data + n * WV_RECORD_SIZE, 'z', rest);
 	return part;
 }
@@ -29,8 +29,7 @@
 	struct wv_string parts[2] = {records(a, rest), records(b, 0)};
 	struct wv_string merged = wv_gather(parts, 2, top_k);
 
-	g_assert_cmpuint(
-	    merged.length, ==, strlen(expected) * WV_RECORD_SIZE);
+	g_assert_cmpuint(merged.length, ==, strlen(expected) * WV_RECORD_SIZE);
 	for (size_t i = 0; i < strlen(expected); i++)
 		g_assert_cmpint(
 		    merged.data[i * WV_RECORD_SIZE], ==, expected[i]);
@@ -82,8 +81,7 @@
 		struct wv_string merged;
 
 		for (size_t i = 0; i < all.length; i++)
-			all.data[i] =
-			    (char)g_rand_int_range(random, 0, 256);
+			all.data[i] = (char)g_rand_int_range(random, 0, 256);
 		merged = wv_gather(&all, 1, top_k);
 		qsort(all.data, n, WV_RECORD_SIZE, compare_falling);
 		g_assert_cmpmem(merged.data, merged.length, all.data,
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -61,6 +61,7 @@
 	void *message; /**< the part, once it is in */
 	bool settled; /**< in, or given up */
 	bool waiting; /**< in the service's queue */
+	bool arrived; /**< an attempt has reached a searcher */
 	unsigned live; /**< attempts on the way */
 	unsigned sent; /**< attempts that may have run */
 	unsigned rejected; /**< attempts that did not run */
--- a/wisteriavane/view.h
+++ b/wisteriavane/view.h
@@ -27,6 +27,8 @@
 	double trouble; /**< recent part of attempts rejected or failed */
 	wv_msec trouble_at;
 	unsigned failures; /**< in a row, without a sign of life between */
+	unsigned rejections; /**< or reported failures, in a row */
+	wv_msec held_until; /**< others go first until then */
 	bool lost; /**< gets single probes only */
 	wv_msec probe_at; /**< next probe while it is lost */
 	wv_msec probe_delay;
@@ -53,6 +55,12 @@
 /** Returns whether a request may be sent, as a probe if it is lost. */
 bool wv_view_usable(const struct wv_view *view, wv_msec now);
 
+/**
+ * Returns whether others go first, even if they have no room now: it has just
+ * rejected or failed requests, and would do so with all that it is given.
+ */
+bool wv_view_held(const struct wv_view *view, wv_msec now);
+
 /**
  * Returns the expected cost of one more request; lower is better. 1 is an
  * idle searcher at its usual pace.
