--- /dev/null
+++ b/test/test_dialect.c
@@ -0,0 +1,271 @@
+/**
+ * @file
+ * Tests of the platform's dialect: objects that can't be read name nothing,
+ * and what one VM encodes another one decodes.
+ */
+#include <string.h>
+
+#include "entry/dialect.h"
+#include "http/json.h"
+
+#define ENTRY                                                            \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"," \
+	"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","            \
+	"\"coldLeftMs\":0,\"sequence\":4,\"born\":1700000000000}"
+
+struct seen {
+	unsigned n;
+	unsigned readable;
+	unsigned deleted;
+	uint64_t started;
+	bool draining;
+	struct wv_routes *routes;
+	char *change; /* of the last object */
+};
+
+static void
+take(void *data, const struct store_object *object)
+{
+	struct wv_searcher_entry entry;
+	struct wv_status status = {0};
+	struct seen *seen = data;
+
+	seen->n++;
+	seen->deleted += object->deleted;
+	if (platform_dialect()->decode_searcher(object, &entry, &status)) {
+		seen->readable++;
+		seen->started = entry.started;
+		seen->draining = entry.draining;
+	}
+	g_free(seen->change);
+	seen->change = platform_dialect()->encode_change(object);
+}
+
+static void
+take_routes(void *data, const struct store_object *object)
+{
+	struct wv_status status = {0};
+	struct seen *seen = data;
+
+	seen->n++;
+	seen->routes = platform_dialect()->decode_routes(object, &status);
+}
+
+static bool
+decode(const char *text, struct store_page *page, struct seen *seen)
+{
+	struct wv_status status = {0};
+
+	return platform_dialect()->decode(
+	    wv_string_borrow(text), page, take, seen, &status);
+}
+
+static struct seen
+decode_entry(const char *spec)
+{
+	char *text = g_strdup_printf(
+	    "{\"items\":[{\"meta\":{\"name\":\"i-1\",\"revision\":3},"
+	    "\"spec\":%s}],\"hasMore\":false,\"atRev\":9}",
+	    spec);
+	struct store_page page;
+	struct seen seen = {0};
+
+	g_assert_true(decode(text, &page, &seen));
+	g_assert_cmpuint(page.revision, ==, 9);
+	g_free(page.last_name);
+	g_free(seen.change);
+	g_free(text);
+	return seen;
+}
+
+static void
+test_entry(void)
+{
+	struct seen seen = decode_entry(ENTRY);
+
+	g_assert_cmpuint(seen.readable, ==, 1);
+	g_assert_cmpuint(seen.started, ==, 1700000000000);
+	g_assert_false(seen.draining);
+}
+
+/* Each field that is missing or of another type makes it unreadable. */
+static void
+test_unreadable(void)
+{
+	static const char *const changes[][2] = {{"\"service\":\"s\",", ""},
+	    {"\"s\"", "7"}, {"10.0.0.1:80", "10.0.0.1"},
+	    {"\"10.0.0.1:80\"", "null"}, {"\"zone\":\"z\",", ""},
+	    {"\"v1\"", "1"}, {"\"slots\":2", "\"slots\":\"2\""},
+	    {"\"slots\":2", "\"slots\":0"}, {"\"slots\":2", "\"slots\":-1"},
+	    {"ready", "gone"}, {"\"ready\"", "true"},
+	    {"\"coldLeftMs\":0", "\"coldLeftMs\":null"},
+	    {"\"sequence\":4,", ""}, {"1700000000000", "\"soon\""},
+	    {"1700000000000", "1.5"}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+		GString *spec = g_string_new(ENTRY);
+
+		g_assert_cmpuint(
+		    g_string_replace(spec, changes[i][0], changes[i][1], 1), ==,
+		    1);
+		if (decode_entry(spec->str).readable != 0)
+			g_error("readable: %s", spec->str);
+		g_string_free(spec, TRUE);
+	}
+	g_assert_cmpuint(decode_entry("null").readable, ==, 0);
+	g_assert_cmpuint(decode_entry("\"text\"").readable, ==, 0);
+	g_assert_cmpuint(decode_entry("[]").readable, ==, 0);
+}
+
+static void
+test_bodies(void)
+{
+	static const char *const bad[] = {"", "null", "[]", "{}",
+	    "{\"items\":7}", "{\"items\":[]}", "{\"events\":[],\"atRev\":-1}",
+	    "{\"atRev\":3}",
+	    "{\"items\":[],\"atRev\":3}{\"items\":[],\"atRev\":3}"};
+	struct store_page page = {0};
+	struct seen seen = {0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		if (decode(bad[i], &page, &seen))
+			g_error("accepted: %s", bad[i]);
+	}
+	g_assert_true(decode("{\"items\":[1,null,{},{\"meta\":{}}],"
+			     "\"atRev\":3}",
+	    &page, &seen));
+	g_assert_cmpuint(seen.n, ==, 0);
+}
+
+/* What is passed on between VMs is read as it was in the store. */
+static void
+test_changes(void)
+{
+	const struct dialect *dialect = platform_dialect();
+	GPtrArray *changes = g_ptr_array_new_with_free_func(g_free);
+	struct store_page page = {0};
+	struct seen seen = {0};
+	GString *text;
+
+	g_assert_true(decode("{\"events\":[{\"deleted\":false,\"object\":"
+			     "{\"meta\":{\"name\":\"i-1\"},\"spec\":" ENTRY
+			     "}}],\"atRev\":5}",
+	    &page, &seen));
+	g_ptr_array_add(changes, seen.change);
+	g_free(page.last_name);
+	seen = (struct seen){0};
+	text = dialect->encode_changes(changes, 7, true);
+	g_assert_nonnull(strstr(text->str, dialect->outage_mark));
+	g_assert_true(decode(text->str, &page, &seen));
+	g_assert_cmpuint(page.revision, ==, 7);
+	g_assert_true(page.after_outage);
+	g_assert_cmpuint(seen.readable, ==, 1);
+	g_assert_cmpuint(seen.deleted, ==, 0);
+	g_free(page.last_name);
+	g_free(seen.change);
+	g_string_free(text, TRUE);
+	g_ptr_array_unref(changes);
+}
+
+static void
+test_paths(void)
+{
+	const struct dialect *dialect = platform_dialect();
+	char *watch = dialect->watch_path(STORE_SEARCHERS, 42, 1500);
+	char *all = dialect->list_path(STORE_ROUTES, NULL);
+	enum store_kind kind;
+	uint64_t revision;
+	bool list;
+
+	g_assert_true(dialect->parse_read(
+	    wv_string_borrow(watch), &kind, &list, &revision));
+	g_assert_cmpint(kind, ==, STORE_SEARCHERS);
+	g_assert_false(list);
+	g_assert_cmpuint(revision, ==, 42);
+	g_assert_true(dialect->parse_read(
+	    wv_string_borrow(all), &kind, &list, &revision));
+	g_assert_cmpint(kind, ==, STORE_ROUTES);
+	g_assert_true(list);
+	g_assert_false(dialect->parse_read(
+	    wv_string_borrow("/other"), &kind, &list, &revision));
+	g_free(watch);
+	g_free(all);
+}
+
+static struct wv_routes *
+decode_routes(const char *spec)
+{
+	char *text = g_strdup_printf("{\"meta\":{\"name\":\"main\","
+				     "\"revision\":3},\"spec\":%s}",
+	    spec);
+	struct wv_status status = {0};
+	struct store_page page = {0};
+	struct seen seen = {0};
+
+	platform_dialect()->decode(
+	    wv_string_borrow(text), &page, take_routes, &seen, &status);
+	g_assert_cmpuint(seen.n, ==, 1);
+	g_free(page.last_name);
+	g_free(text);
+	return seen.routes;
+}
+
+#define ROUTE                                                           \
+	"\"name\":\"r\",\"host\":\"H.example\",\"pathPrefix\":\"/a/\"," \
+	"\"routeType\":\"non_idempotent\",\"timeoutMs\":900,"           \
+	"\"targetLatencyMs\":80,\"priority\":1,\"maxAttempts\":3"
+#define TABLE(services)                                                      \
+	"{\"version\":7,\"routes\":[{" ROUTE "," services "}],\"services\":" \
+	"[{\"name\":\"s\",\"maxConnections\":26}],\"limits\":"               \
+	"{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"                      \
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}}"
+
+static void
+test_routes(void)
+{
+	struct wv_routes *routes = decode_routes(
+	    TABLE("\"weightedServices\":[{\"service\":\"s\",\"weight\":3},"
+		  "{\"service\":\"t\",\"weight\":1}]"));
+	const struct wv_route *route = &routes->routes[0];
+
+	g_assert_cmpuint(routes->version, ==, 7);
+	g_assert_cmpuint(routes->limits.body_bytes, ==, 200);
+	g_assert_cmpuint(routes->services[0].connections, ==, 26);
+	g_assert_cmpstr(route->host.data, ==, "h.example");
+	g_assert_false(route->idempotent);
+	g_assert_cmpuint(route->max_attempts, ==, 3);
+	g_assert_cmpuint(route->n_services, ==, 2);
+	g_assert_cmpfloat(route->weights[0], ==, 3);
+	wv_routes_unref(routes);
+	routes = decode_routes(TABLE("\"fanoutServices\":[\"s\",\"t\"],"
+				     "\"topK\":5,\"minShardRatio\":0.75"));
+	g_assert_cmpint(routes->routes[0].kind, ==, WV_ROUTE_SCATTER);
+	g_assert_cmpuint(routes->routes[0].top_k, ==, 5);
+	wv_routes_unref(routes);
+}
+
+static void
+test_bad_routes(void)
+{
+	g_assert_null(decode_routes("{}"));
+	g_assert_null(decode_routes(TABLE("\"service\":7")));
+	g_assert_null(decode_routes(TABLE("\"fanoutServices\":[]")));
+	g_assert_null(
+	    decode_routes(TABLE("\"fanoutServices\":[7],\"topK\":1")));
+	g_assert_null(decode_routes(TABLE("\"fanoutServices\":[\"s\"]")));
+	g_assert_null(decode_routes(TABLE("\"weightedServices\":[7]")));
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dialect/entry", test_entry);
+	g_test_add_func("/dialect/unreadable", test_unreadable);
+	g_test_add_func("/dialect/bodies", test_bodies);
+	g_test_add_func("/dialect/changes", test_changes);
+	g_test_add_func("/dialect/paths", test_paths);
+	g_test_add_func("/dialect/routes", test_routes);
+	g_test_add_func("/dialect/bad-routes", test_bad_routes);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/test_entry_settings.c
@@ -0,0 +1,84 @@
+/**
+ * @file
+ * Tests of the entry server's settings: each fault is named by its path.
+ */
+#include <string.h>
+
+#include "entry/settings.h"
+
+#define GOOD                                                               \
+	"{\"vm\":\"vm1\",\"zone\":\"z1\",\"callers\":\"127.0.0.1:1\","     \
+	"\"readiness\":\"127.0.0.1:2\",\"addresses\":\"127.0.0.1:3\","     \
+	"\"peers\":\"127.0.0.1:4\",\"metrics\":\"127.0.0.1:5\","           \
+	"\"store\":\"127.0.0.1:6\",\"capacity\":0.25,\"retry_ratio\":0.2," \
+	"\"retry_slack\":58,\"retry_window_s\":10,\"stop_s\":6,"           \
+	"\"address_lifetime_s\":1}"
+
+static void
+check_fault(const char *from, const char *to, const char *path)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	GString *text = g_string_new(GOOD);
+	bool found = false;
+
+	g_assert_cmpuint(g_string_replace(text, from, to, 1), ==, 1);
+	g_assert_null(entry_settings_parse(
+	    (struct wv_string){text->str, text->len}, faults));
+	for (guint i = 0; i < faults->len; i++)
+		found |= g_str_has_prefix(faults->pdata[i], path);
+	if (!found)
+		g_error("no fault at %s for %s", path, text->str);
+	g_ptr_array_unref(faults);
+	g_string_free(text, TRUE);
+}
+
+static void
+test_good(void)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	struct entry_settings *settings =
+	    entry_settings_parse(wv_string_borrow(GOOD), faults);
+
+	g_assert_nonnull(settings);
+	g_assert_cmpstr(settings->store, ==, "127.0.0.1:6");
+	g_assert_cmpfloat(settings->retry_slack, ==, 58);
+	entry_settings_destroy(settings);
+	g_ptr_array_unref(faults);
+}
+
+static void
+test_faults(void)
+{
+	check_fault("\"vm\":\"vm1\",", "", "$.vm:");
+	check_fault("\"vm1\"", "7", "$.vm:");
+	check_fault("127.0.0.1:2", "localhost:2", "$.readiness:");
+	check_fault("127.0.0.1:6", "127.0.0.1:99999", "$.store:");
+	check_fault("0.25", "0", "$.capacity:");
+	check_fault("0.25", "\"much\"", "$.capacity:");
+	check_fault(
+	    "\"retry_ratio\":0.2", "\"retry_ratio\":-1", "$.retry_ratio:");
+	check_fault("\"stop_s\":6", "\"stop_s\":null", "$.stop_s:");
+	check_fault("\"zone\"", "\"zine\"", "$.zine: unknown");
+	check_fault("{\"vm\"", "\"vm\"", "$:");
+}
+
+/* All faults are named, not just the first. */
+static void
+test_all_faults(void)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+
+	g_assert_null(entry_settings_parse(wv_string_borrow("{}"), faults));
+	g_assert_cmpuint(faults->len, ==, 14);
+	g_ptr_array_unref(faults);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry-settings/good", test_good);
+	g_test_add_func("/entry-settings/faults", test_faults);
+	g_test_add_func("/entry-settings/all", test_all_faults);
+	return g_test_run();
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -113,9 +113,13 @@
 if [ -x build/wisteriavane-bench ]; then
 	run_check bench check_bench
 fi
+# Real processes under random faults; further seeds are run by hand.
+run_check soak run_quietly build/wisteriavane-soak --seeds 1-2 --seconds 5
 run_check build-address sh tools/build.sh build-address \
     -DWV_SANITIZE=address,undefined
 run_tests build-address
+run_check build-address/soak run_quietly build/wisteriavane-soak --seeds 3 \
+    --seconds 5 --program build-address/wisteriavane-entry
 # Only code whose threads meet in the mailbox: the sanitizer does not know the
 # locks of GLib or the grace periods of liburcu, which it reports as races.
 run_check build-thread sh tools/build.sh build-thread -DWV_SANITIZE=thread
