--- a/entry/main.c
+++ b/entry/main.c
@@ -276,27 +276,46 @@
 	return event;
 }
 
+/* Listens on an address; says so on standard error if that fails. */
+static struct server *
+open_server(
+    struct entry *entry, const char *address, const struct server_ops *ops)
+{
+	struct server *server = server_create(entry->base, address, ops, entry);
+
+	if (server == NULL)
+		fprintf(stderr, "%s: cannot listen: %s\n", address,
+		    strerror(errno));
+	return server;
+}
+
 static bool
 open_servers(struct entry *entry)
 {
 	const struct entry_settings *settings = entry->settings;
 
 	entry->gateway = gateway_create(entry);
-	entry->addresses = server_create(
-	    entry->base, settings->addresses, &address_ops, entry);
-	entry->readiness = server_create(
-	    entry->base, settings->readiness, &readiness_ops, entry);
+	if (entry->gateway == NULL) {
+		fprintf(stderr, "%s: cannot listen: %s\n", settings->callers,
+		    strerror(errno));
+		return false;
+	}
+	entry->addresses =
+	    open_server(entry, settings->addresses, &address_ops);
+	entry->readiness =
+	    open_server(entry, settings->readiness, &readiness_ops);
 	entry->metrics_server =
-	    server_create(entry->base, settings->metrics, &metrics_ops, entry);
-	entry->changes =
-	    server_create(entry->base, settings->peers, &changes_ops, entry);
-	if (entry->gateway == NULL || entry->addresses == NULL ||
-	    entry->readiness == NULL || entry->metrics_server == NULL ||
-	    entry->changes == NULL)
+	    open_server(entry, settings->metrics, &metrics_ops);
+	entry->changes = open_server(entry, settings->peers, &changes_ops);
+	if (entry->addresses == NULL || entry->readiness == NULL ||
+	    entry->metrics_server == NULL || entry->changes == NULL)
 		return false;
 	entry->store = store_sync_create(entry);
 	entry_set_terms(entry);
 	entry->reports = reports_create(entry);
+	if (entry->reports == NULL)
+		fprintf(stderr, "%s: cannot open: %s\n", settings->peers,
+		    strerror(errno));
 	return entry->reports != NULL;
 }
 
@@ -361,10 +380,8 @@
 	    wv_string_borrow(entry->settings->vm));
 	entry->peers = wv_peers_create(
 	    wv_string_borrow(entry->settings->vm), entry->settings->capacity);
-	if (!open_servers(entry)) {
-		fprintf(stderr, "cannot listen: %s\n", strerror(errno));
+	if (!open_servers(entry))
 		return EXIT_FAILURE;
-	}
 	start(&process);
 	event_base_dispatch(entry->base);
 	finish(&process);
--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -28,6 +28,10 @@
 extern const struct fuzz_target fuzz_settings;
 /** A trace is either invalid or replayed to its end. */
 extern const struct fuzz_target fuzz_trace;
+/** Requests must be read alike however they are cut into pieces. */
+extern const struct fuzz_target fuzz_message;
+/** Objects of the platform's store must keep to their ranges. */
+extern const struct fuzz_target fuzz_object;
 /** Frames that were refused must stay refused. */
 extern const struct fuzz_target fuzz_frame;
 
--- a/soak/main.c
+++ b/soak/main.c
@@ -74,17 +74,18 @@
 }
 
 static void
-write_settings(const struct soak_vm *vm, const unsigned int *ports)
+write_settings(const struct soak *soak, const struct soak_vm *vm,
+    const unsigned int *ports)
 {
 	char *text = g_strdup_printf(
 	    "{\"vm\":\"%s\",\"zone\":\"z1\",\"callers\":\"%s\","
-	    "\"addresses\":\"%s\",\"readiness\":\"127.0.0.1:%u\","
-	    "\"peers\":\"127.0.0.1:%u\",\"metrics\":\"127.0.0.1:%u\","
+	    "\"addresses\":\"%s\",\"readiness\":\"%s:%u\","
+	    "\"peers\":\"%s:%u\",\"metrics\":\"%s:%u\","
 	    "\"store\":\"%s\",\"capacity\":0.5,\"retry_ratio\":0.2,"
 	    "\"retry_slack\":60,\"retry_window_s\":10,\"stop_s\":4,"
 	    "\"address_lifetime_s\":0.5}",
-	    vm->name, vm->callers, vm->addresses, ports[2], ports[3], ports[4],
-	    proxy_address(vm->store));
+	    vm->name, vm->callers, vm->addresses, soak->ip, ports[2], soak->ip,
+	    ports[3], soak->ip, ports[4], proxy_address(vm->store));
 
 	g_file_set_contents(vm->settings, text, -1, NULL);
 	g_free(text);
@@ -94,14 +95,14 @@
 create_vm(struct soak *soak, struct soak_vm *vm, unsigned i,
     const unsigned int *ports, const char *store)
 {
-	char *address = g_strdup_printf("127.0.0.1:%u", ports[5]);
+	char *address = g_strdup_printf("%s:%u", soak->ip, ports[5]);
 
 	vm->name = g_strdup_printf("vm%u", i);
 	vm->settings = g_strdup_printf("%s/vm%u.json", soak->dir, i);
-	vm->callers = g_strdup_printf("127.0.0.1:%u", ports[0]);
-	vm->addresses = g_strdup_printf("127.0.0.1:%u", ports[1]);
+	vm->callers = g_strdup_printf("%s:%u", soak->ip, ports[0]);
+	vm->addresses = g_strdup_printf("%s:%u", soak->ip, ports[1]);
 	vm->store = proxy_create(soak->base, address, store);
-	write_settings(vm, ports);
+	write_settings(soak, vm, ports);
 	soak_vm_start(soak, vm);
 	g_free(address);
 }
@@ -110,7 +111,7 @@
 create_links(struct soak *soak, const unsigned int *ports)
 {
 	for (unsigned i = 0; i < SOAK_SERVICES * SOAK_REPLICAS; i++) {
-		char *address = g_strdup_printf("127.0.0.1:%u", ports[i]);
+		char *address = g_strdup_printf("%s:%u", soak->ip, ports[i]);
 		char *id = g_strdup_printf(
 		    "i-%u-%u", i / SOAK_REPLICAS, i % SOAK_REPLICAS);
 		char service[16];
@@ -131,24 +132,26 @@
 create_world(struct soak *soak)
 {
 	unsigned n_links = SOAK_SERVICES * SOAK_REPLICAS;
-	unsigned n = 1 + n_links + soak->n_vms * VM_PORTS;
+	unsigned n = 1 + 2 * n_links + soak->n_vms * VM_PORTS;
 	unsigned int *ports = g_new0(unsigned int, n);
 	char *store;
 
 	if (!standin_free_ports(ports, n))
 		exit(EXIT_FAILURE);
-	store = g_strdup_printf("127.0.0.1:%u", ports[0]);
+	store = g_strdup_printf("%s:%u", soak->ip, ports[0]);
 	soak->shape =
 	    (struct standin_shape){SOAK_SERVICES, SOAK_REPLICAS, 4, 8};
 	soak->store = standin_store_create(soak->base, store);
-	soak->searchers = standin_searchers_create(soak->base, &soak->shape);
+	soak->searchers = standin_searchers_create(
+	    soak->base, &soak->shape, soak->ip, ports + 1 + n_links);
 	soak->version = 1;
 	standin_store_write(soak->store, STANDIN_ROUTES, STANDIN_ROUTES_NAME,
 	    standin_routes(&soak->shape, soak->version, 1500));
 	create_links(soak, ports + 1);
 	for (unsigned i = 0; i < soak->n_vms; i++)
 		create_vm(soak, &soak->vms[i], i,
-		    ports + 1 + n_links + (size_t)i * VM_PORTS, store);
+		    ports + 1 + (size_t)2 * n_links + (size_t)i * VM_PORTS,
+		    store);
 	g_free(store);
 	g_free(ports);
 }
@@ -222,6 +225,16 @@
 	}
 }
 
+/* Each run has a loopback address of its own, so no port is taken twice. */
+static void
+choose_ip(struct soak *soak)
+{
+	unsigned pid = (unsigned)getpid();
+
+	g_snprintf(soak->ip, sizeof(soak->ip), "127.%u.%u.%u",
+	    1 + pid / 256 % 250, pid % 256, 1 + soak->seed % 250);
+}
+
 static bool
 run(const struct options *options, uint32_t seed)
 {
@@ -238,6 +251,7 @@
 	soak.samples = g_array_new(FALSE, FALSE, sizeof(struct soak_sample));
 	soak.not_run = g_ptr_array_new_with_free_func(g_free);
 	soak.started_at = soak_now(&soak);
+	choose_ip(&soak);
 	create_world(&soak);
 	run_until(&soak, soak_now(&soak) + START_UP);
 	soak.ends_at = soak_now(&soak) + options->seconds * 1000;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -43,6 +43,7 @@
 	struct wv_clock clock;
 	GRand *random;
 	uint32_t seed;
+	char ip[16]; /**< loopback address of the run */
 	const char *program; /**< path of wisteriavane-entry */
 	char *dir; /**< owned: settings and logs */
 	unsigned n_vms;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -282,5 +282,9 @@
 		fail "callers met: $fault"
 	fi
 done
+
+step "four entry servers on the platform's stand-in, under random faults"
+build/wisteriavane-soak --seeds 4 --seconds 5 ||
+    fail "a promise was broken under faults"
 echo
 echo "demo: ok"
