--- a/entry/client.c
+++ b/entry/client.c
@@ -218,18 +218,6 @@
 	g_free(client);
 }
 
-void
-client_set_data(struct client *client, void *data)
-{
-	client->data = data;
-}
-
-void *
-client_data(const struct client *client)
-{
-	return client->data;
-}
-
 void
 client_send(struct client *client, struct wv_string request, bool no_body)
 {
--- a/entry/client.h
+++ b/entry/client.h
@@ -39,12 +39,6 @@
 /** Closes and releases a connection. */
 void client_destroy(struct client *client);
 
-/** Sets the pointer that the callbacks get. */
-void client_set_data(struct client *client, void *data);
-
-/** Returns that pointer. */
-void *client_data(const struct client *client);
-
 /**
  * Sends a request, as soon as the connection is established.
  *
--- a/entry/main.c
+++ b/entry/main.c
@@ -135,7 +135,7 @@
     void *data, struct server_conn *conn, const struct message *message)
 {
 	struct entry *entry = data;
-	GString *text = metrics_text(&entry->metrics);
+	GString *text = metrics_text(&entry->metrics, log_left_out(entry->log));
 	struct wv_string body = {text->str, text->len};
 
 	(void)message;
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -61,13 +61,15 @@
 }
 
 GString *
-metrics_text(const struct metrics *metrics)
+metrics_text(const struct metrics *metrics, uint64_t left_out)
 {
+	struct wv_counter lines = {"log_lines_left_out", left_out};
 	GString *text = g_string_new(NULL);
 
 #define METRICS_APPEND(field) append_counter(text, &metrics->field);
 	METRICS_LIST(METRICS_APPEND)
 #undef METRICS_APPEND
+	append_counter(text, &lines);
 	append_histogram(text, "request_ms", &metrics->request_ms);
 	append_histogram(text, "attempt_ms", &metrics->attempt_ms);
 	return text;
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -65,7 +65,11 @@
 /** Adds one latency, ms. */
 void metrics_add(struct metrics_histogram *histogram, double value);
 
-/** Returns all metrics as text; the caller owns it. */
-GString *metrics_text(const struct metrics *metrics);
+/**
+ * Returns all metrics as text; the caller owns it.
+ *
+ * @param left_out  log lines that were left out
+ */
+GString *metrics_text(const struct metrics *metrics, uint64_t left_out);
 
 #endif
--- a/entry/server.c
+++ b/entry/server.c
@@ -44,7 +44,6 @@
 	struct wv_caller_limits limits;
 	bool draining;
 	struct server_conn *conns;
-	size_t n_conns;
 	size_t n_busy;
 	size_t n_writing;
 };
@@ -92,7 +91,6 @@
 		server->conns = conn->next;
 	if (conn->next != NULL)
 		conn->next->previous = conn->previous;
-	server->n_conns--;
 	event_free(conn->read);
 	event_free(conn->write);
 	event_free(conn->timer);
@@ -394,7 +392,6 @@
 	if (conn->next != NULL)
 		conn->next->previous = conn;
 	server->conns = conn;
-	server->n_conns++;
 	wait_for_request(conn);
 }
 
@@ -480,12 +477,6 @@
 	return server->n_busy;
 }
 
-size_t
-server_connections(const struct server *server)
-{
-	return server->n_conns;
-}
-
 bool
 server_is_flushed(const struct server *server)
 {
--- a/entry/server.h
+++ b/entry/server.h
@@ -56,9 +56,6 @@
 /** Returns the number of requests that have no answer yet. */
 size_t server_busy(const struct server *server);
 
-/** Returns the number of open connections. */
-size_t server_connections(const struct server *server);
-
 /** Returns whether all answers have been written. */
 bool server_is_flushed(const struct server *server);
 
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -32,7 +32,6 @@
 	bool listed; /**< a list has been read since the start */
 	bool after_outage; /**< the next changes follow an outage */
 	char *after; /**< owned: last name of the list's former page */
-	uint64_t list_revision; /**< of the list's first page */
 	GPtrArray *list; /**< owned: changes of the answer being read */
 	struct wv_changes *changes; /**< owned: what is known */
 	unsigned failures; /**< calls in a row */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -421,8 +421,7 @@
 }
 
 static const char *const reason_names[] = {"none", "unreachable", "no_capacity",
-    "rejected", "broken", "searcher_failed", "deadline", "too_few_parts",
-    "stopping"};
+    "rejected", "broken", "searcher_failed", "deadline", "stopping"};
 
 const char *
 wv_reason_name(enum wv_reason reason)
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -35,7 +35,6 @@
 	WV_REASON_BROKEN, /**< the connection ended without an answer */
 	WV_REASON_SEARCHER_FAILED, /**< searchers answered with failures */
 	WV_REASON_DEADLINE, /**< the time is up */
-	WV_REASON_TOO_FEW_PARTS, /**< below the route's least part */
 	WV_REASON_STOPPING /**< this VM ends */
 };
 
@@ -67,7 +66,6 @@
 	unsigned rejected; /**< attempts that did not run */
 	unsigned n_tried;
 	const struct wv_searcher *tried[6]; /**< compared, never followed */
-	wv_msec hedge_at; /**< next hedge, or end of waiting */
 	struct wv_attempt *attempts; /**< live ones */
 	void *timer; /**< owned by the dispatch */
 	enum wv_reason reason; /**< of the last failure */
