--- a/wisteriavane/fleet.h
+++ b/wisteriavane/fleet.h
@@ -37,7 +37,8 @@
 	struct wv_allowance allowance; /**< extra attempts */
 	uint32_t connections; /**< cap of each searcher, all VMs; 0: unknown */
 	GQueue waiting; /**< shard requests without a searcher, by urgency */
-	GQueue held_back; /**< requests held back for this service, by urgency */
+	GQueue
+	    held_back; /**< requests held back for this service, by urgency */
 };
 
 /** One incarnation of a searcher. */
