--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -29,6 +29,7 @@
 	const char *address; /**< IP:PORT of the VM */
 	char *token; /**< owned; NULL for none */
 	GPtrArray *members; /**< operators' addresses given, borrowed */
+	GPtrArray *logs; /**< paths of logs given, borrowed */
 	bool json; /**< print answers as JSON */
 	wv_msec timeout; /**< for one call */
 	wv_msec wait; /**< for a contract to be in force */
@@ -93,4 +94,7 @@
 /** Runs `state [ADDRESS]`. */
 enum ctl_exit ctl_state(const struct ctl *ctl);
 
+/** Runs `follow ID`; calls no VM. */
+enum ctl_exit ctl_follow(const struct ctl *ctl);
+
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -25,7 +25,8 @@
 	KEY_TIMEOUT,
 	KEY_WAIT,
 	KEY_COVERAGE,
-	KEY_STATE
+	KEY_STATE,
+	KEY_LOG
 };
 
 static const struct argp_option option_list[] = {
@@ -58,6 +59,9 @@
     {"payload", KEY_PAYLOAD, "TEXT", 0, "Payload of a job", 0},
     {"deadline-ms", KEY_DEADLINE, "MS", 0, "Deadline", 0},
     {"state", KEY_STATE, "STATE", 0, "State of jobs to list (unresolved)", 0},
+    {NULL, 0, NULL, 0, "Logs:", 3},
+    {"log", KEY_LOG, "FILE", 0,
+	"Log of an entry server to look through; may be repeated", 0},
     {0},
 };
 
@@ -161,6 +165,9 @@
 	case KEY_MEMBER:
 		g_ptr_array_add(ctl->members, arg);
 		return 0;
+	case KEY_LOG:
+		g_ptr_array_add(ctl->logs, arg);
+		return 0;
 	case KEY_IF_VERSION:
 		ctl->if_version = (int64_t)read_number(arg, state);
 		return 0;
@@ -184,7 +191,8 @@
     "submit --customer NAME --back-end NAME --payload TEXT\n"
     "addresses --customer NAME\n"
     "drain\n"
-    "stop",
+    "stop\n"
+    "follow ID --log FILE...",
     "Operates the VMs of a wisteriavane deployment.\v"
     "Exit codes: 0 done, 1 refused, 2 bad usage, 3 no answer, 4 version "
     "conflict, 5 accepted but not seen in force on every member, 6 whether it "
@@ -194,6 +202,7 @@
 struct command {
 	const char *name;
 	enum ctl_exit (*run)(const struct ctl *ctl);
+	bool calls; /* needs the address of a VM */
 };
 
 static enum ctl_exit
@@ -211,14 +220,15 @@
 }
 
 static const struct command commands[] = {
-    {"contract", ctl_contract},
-    {"jobs", ctl_jobs},
-    {"state", ctl_state},
-    {"search", ctl_search},
-    {"submit", ctl_submit},
-    {"addresses", ctl_addresses},
-    {"drain", run_drain},
-    {"stop", run_stop},
+    {"contract", ctl_contract, true},
+    {"jobs", ctl_jobs, true},
+    {"state", ctl_state, true},
+    {"search", ctl_search, true},
+    {"submit", ctl_submit, true},
+    {"addresses", ctl_addresses, true},
+    {"drain", run_drain, true},
+    {"stop", run_stop, true},
+    {"follow", ctl_follow, false},
 };
 
 static enum ctl_exit
@@ -231,7 +241,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
 		if (strcmp(commands[i].name, name) != 0)
 			continue;
-		if (!has_address)
+		if (commands[i].calls && !has_address)
 			return ctl_usage("--address must be given");
 		return commands[i].run(ctl);
 	}
@@ -245,6 +255,7 @@
 	enum ctl_exit result;
 
 	ctl.members = g_ptr_array_new();
+	ctl.logs = g_ptr_array_new();
 	ctl.rank = "standard";
 	ctl.state = "unresolved";
 	ctl.timeout = 5000;
@@ -256,6 +267,7 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &ctl);
 	result = run_command(&ctl);
 	g_ptr_array_unref(ctl.members);
+	g_ptr_array_unref(ctl.logs);
 	g_free(ctl.token);
 	return result;
 }
