--- a/ctl/follow.c
+++ b/ctl/follow.c
@@ -171,7 +171,7 @@
 	enum ctl_exit result;
 	bool read = true;
 
-	if (ctl->n_words != 2)
+	if (ctl->n_words != 2 || ctl->words[1][0] == '\0')
 		return ctl_usage("follow takes one identifier");
 	if (ctl->logs->len == 0)
 		return ctl_usage("--log must be given");
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -103,11 +103,23 @@
 	run_clear(&run);
 }
 
+/* Lines without an identifier belong to no request. */
+static void
+test_empty_identifier(void)
+{
+	struct run run = run_follow("");
+
+	g_assert_cmpint(run.status, ==, 2);
+	g_assert_cmpstr(run.out, ==, "");
+	run_clear(&run);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/follow/request", test_request);
 	g_test_add_func("/follow/unknown-request", test_unknown_request);
+	g_test_add_func("/follow/empty-identifier", test_empty_identifier);
 	return g_test_run();
 }
