Never send again what may run once after it has waited for room

Cause: the end of the wait for room stayed set when a waiting request was sent. For a request that may run only once, no hedge replaced it, so its timer counted as a hedge: while it ran, it was sent to a second searcher. Now the timer is unset.

--- a/src/allowance.c
+++ b/src/allowance.c
@@ -14,7 +14,10 @@
  */
 #define RATIO_USED 0.95
 
-/** One step more than a window is kept, so a window is never undercounted. */
+/**
+ * One step more than a window is kept: extra attempts are counted over a bit
+ * more than a window, first ones over a bit less, so that any window holds.
+ */
 #define KEPT (WV_ALLOWANCE_STEPS + 1)
 
 static void
@@ -56,10 +59,11 @@
     const struct wv_allowance_terms *terms, wv_msec now)
 {
 	double slack = now >= terms->slack_from ? terms->slack : 0;
+	size_t newest = advance(allowance, terms, now);
+	uint32_t oldest = allowance->first[(newest + 1) % KEPT];
+	uint32_t first = allowance->first_total - oldest;
 
-	advance(allowance, terms, now);
-	return floor(
-		   terms->ratio * RATIO_USED * allowance->first_total + slack) -
+	return floor(terms->ratio * RATIO_USED * first + slack) -
 	    allowance->extra_total;
 }
 
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -90,8 +90,9 @@
 	shard->sent++;
 	task->attempts++;
 	task->extra += extra;
-	if (attempt->idempotent)
-		dispatch_timer_set(dispatch, shard->timer, now + hedge);
+	/* Unset for the others: it may still tell the end of a wait. */
+	dispatch_timer_set(dispatch, shard->timer,
+	    attempt->idempotent ? now + hedge : WV_MSEC_NEVER);
 	dispatch->ops->send(dispatch->ops, attempt);
 }
 
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -36,6 +36,7 @@
 	wv_msec arrives;
 	wv_msec ends; /* 0: not started */
 	bool used;
+	struct world_result *result; /* of its request */
 };
 
 /** A searcher. */
@@ -54,14 +55,15 @@
 
 /** What a caller got. */
 struct world_result {
-	bool done;
-	enum wv_result_kind kind;
-	enum wv_reason reason;
-	size_t parts;
 	wv_msec elapsed;
 	wv_msec retry_after;
+	size_t parts;
+	enum wv_result_kind kind;
+	enum wv_reason reason;
 	unsigned attempts;
 	unsigned extra;
+	unsigned runs; /* at searchers, also after the result */
+	bool done;
 };
 
 struct world {
@@ -77,6 +79,7 @@
 	unsigned n_searchers;
 	unsigned replicas;
 	unsigned messages; /* not yet released */
+	void *data; /* of the test */
 };
 
 static inline struct wv_string
@@ -111,8 +114,8 @@
 
 		if (job->used)
 			continue;
-		*job = (struct world_job){
-		    attempt, world->now + WORLD_DELAY, 0, true};
+		*job = (struct world_job){attempt, world->now + WORLD_DELAY, 0,
+		    true, attempt->task->caller};
 		searcher->arrivals++;
 		return;
 	}
@@ -370,6 +373,9 @@
 		}
 		if (job->ends == 0)
 			continue;
+		/* What has begun is not rejected any more. */
+		if (world_is_instant(searcher->mode))
+			end = WV_END_ANSWERED;
 		if (job->ends <= world->now)
 			world_end_job(world, job, end);
 		else
@@ -383,6 +389,7 @@
 		job->ends =
 		    world->now + world_draw_work(world, searcher) + WORLD_DELAY;
 		searcher->runs++;
+		job->result->runs++;
 	}
 }
 
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -296,6 +296,31 @@
 	world_destroy(world);
 }
 
+/*
+ * A request that may run once waits for room and is sent then. The end of its
+ * wait passes while it runs: it is not sent again, although another searcher
+ * is free.
+ */
+static void
+test_once_after_wait(void)
+{
+	struct world *world = world_create(1, 2, 15);
+	struct wv_dispatch_terms terms = {
+	    .allowance = {0.2, 50, 10000, 0}, .divisor = 8};
+	struct world_result results[3] = {0};
+
+	wv_dispatch_set_terms(world->dispatch, &terms);
+	for (unsigned i = 0; i < G_N_ELEMENTS(results); i++)
+		world_submit(world, 2, 1500, &results[i]);
+	world_run(world, 2);
+	world->work = 80;
+	world_run(world, 300);
+	g_assert_cmpint(results[2].kind, ==, WV_RESULT_RELAY);
+	g_assert_cmpuint(results[2].attempts, ==, 1);
+	g_assert_cmpuint(results[2].runs, ==, 1);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -315,5 +340,6 @@
 	g_test_add_func("/dispatch/draining", test_draining);
 	g_test_add_func("/dispatch/connection-share", test_connection_share);
 	g_test_add_func("/dispatch/abort", test_abort);
+	g_test_add_func("/dispatch/once-after-wait", test_once_after_wait);
 	return g_test_run();
 }
