--- a/test/fleet/fleet.c
+++ b/test/fleet/fleet.c
@@ -381,6 +381,14 @@
 	fleet_answer_clear(&answer);
 }
 
+void
+fleet_replica_faults(
+    const struct fleet *fleet, size_t replica, const char *faults)
+{
+	for (size_t i = replica; i < FLEET_SEARCHERS; i += FLEET_REPLICAS)
+		fleet_faults(fleet->searcher_addresses[i], faults);
+}
+
 struct fleet_answer
 fleet_search(const struct fleet *fleet, size_t vm)
 {
--- a/test/fleet/fleet.h
+++ b/test/fleet/fleet.h
@@ -69,6 +69,10 @@
 void fleet_expect(const char *address, const char *method, const char *path,
     const char *body, const char *token, int code);
 
+/** Sets faults of one replica of each service. */
+void fleet_replica_faults(
+    const struct fleet *fleet, size_t replica, const char *faults);
+
 /** Sends a search to a VM and returns the answer. */
 struct fleet_answer fleet_search(const struct fleet *fleet, size_t vm);
 
