--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -22,6 +22,9 @@
 /** Services, the last of which runs requests once, and their searchers. */
 #define SERVICES 3
 #define REPLICAS 2
+/** Work of a request, ms, and of a long one. */
+#define WORK 5
+#define LONG_WORK 500
 /** Time in which VMs must know each other, searchers and routes, ms. */
 #define KNOWN_WITHIN 3000
 /** Time in which an answer must come, ms. */
@@ -116,11 +119,12 @@
 	return exchange.status;
 }
 
+/* Creates the searchers; each request is so much work, ms. */
 static struct world *
-world_create(void)
+world_create(double work)
 {
 	struct world *world = g_new0(struct world, 1);
-	struct standin_shape shape = {SERVICES, REPLICAS, 4, 5};
+	struct standin_shape shape = {SERVICES, REPLICAS, 4, work};
 
 	world->base = event_base_new();
 	world->timer = event_new(world->base, -1, 0, on_time, world->base);
@@ -133,11 +137,18 @@
 	return world;
 }
 
+/* The identifier that the stand-in's searcher has; the caller owns it. */
+static char *
+searcher_id(unsigned i)
+{
+	return g_strdup_printf("i-%u-%u", i / REPLICAS, i % REPLICAS);
+}
+
 static void
 write_searchers(struct world *world)
 {
 	for (unsigned i = 0; i < SERVICES * REPLICAS; i++) {
-		char *id = g_strdup_printf("i-%u", i);
+		char *id = searcher_id(i);
 		char *service = g_strdup_printf("s%u", i / REPLICAS);
 
 		standin_store_write(world->store, STANDIN_SEARCHERS, id,
@@ -306,7 +317,7 @@
 static void
 test_start_at_once(void)
 {
-	struct world *world = world_create();
+	struct world *world = world_create(WORK);
 
 	open_store(world);
 	for (unsigned i = 0; i < VMS; i++)
@@ -363,7 +374,7 @@
 static void
 test_entry_before_list(void)
 {
-	struct world *world = world_create();
+	struct world *world = world_create(WORK);
 	struct slow_store store = {
 	    platform_dialect()->create_path(STORE_VMS), NULL, 0};
 	struct server *server =
@@ -388,7 +399,7 @@
 static void
 test_bad_objects(void)
 {
-	struct world *world = world_create();
+	struct world *world = world_create(WORK);
 	struct vm *vm = &world->vms[0];
 
 	open_store(world);
@@ -397,7 +408,7 @@
 	standin_store_write(world->store, STANDIN_ROUTES, STANDIN_ROUTES_NAME,
 	    json_object_new());
 	standin_store_write(
-	    world->store, STANDIN_SEARCHERS, "i-0", json_object_new());
+	    world->store, STANDIN_SEARCHERS, "i-0-0", json_object_new());
 	g_assert_true(wait_logged(world, vm, "\"routes_unreadable\""));
 	g_assert_true(wait_logged(world, vm, "\"searcher_unreadable\""));
 	write_routes(world, 2);
@@ -425,7 +436,7 @@
 	    {"GET / HTTP/1.1\nHost: a\n\n", 400},
 	    {"GET /none HTTP/1.1\r\nHost: none\r\n\r\n", 404},
 	};
-	struct world *world = world_create();
+	struct world *world = world_create(WORK);
 	struct vm *vm = &world->vms[0];
 
 	open_store(world);
@@ -455,7 +466,7 @@
 	static const char *const faults[] = {"busy", "silent", "reset"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
-		struct world *world = world_create();
+		struct world *world = world_create(WORK);
 		struct vm *vm = &world->vms[0];
 
 		open_store(world);
@@ -477,6 +488,95 @@
 	}
 }
 
+/* Returns an order; the caller owns it. */
+static char *
+compose_order(const char *id)
+{
+	const struct dialect *dialect = platform_dialect();
+
+	return g_strdup_printf("POST /order/q HTTP/1.1\r\n"
+			       "Host: maps.example\r\n%s: %s\r\n%s: 1200\r\n"
+			       "Content-Length: 4\r\n\r\nmaps",
+	    dialect->request_id, id, dialect->deadline);
+}
+
+/* Requests that have reached a searcher of the last service. */
+static uint64_t
+count_orders(struct world *world)
+{
+	uint64_t n = 0;
+
+	for (unsigned i = 0; i < REPLICAS; i++)
+		n += standin_searchers_arrivals(
+		    world->searchers, SERVICES - 1, i);
+	return n;
+}
+
+/* A request in progress is answered although its VM is asked to stop. */
+static void
+test_planned_stop(void)
+{
+	struct world *world = world_create(LONG_WORK);
+	struct vm *vm = &world->vms[0];
+	char *order = compose_order("order-1");
+	struct exchange exchange = {world->base, 0, g_string_new(NULL)};
+	struct client *client;
+
+	open_store(world);
+	start_vm(world);
+	g_assert_true(wait_logged(world, vm, "\"store_watching\""));
+	client = client_create(world->base, vm->callers, &ops, &exchange);
+	client_send(client, wv_string_borrow(order), false);
+	run_for(world, 100);
+	g_assert_cmpuint(count_orders(world), ==, 1);
+	g_subprocess_send_signal(vm->process, SIGTERM);
+	run_for(world, ANSWER_WITHIN);
+	g_assert_cmpuint(exchange.status, ==, 200);
+	g_assert_cmpuint(
+	    standin_searchers_runs(world->searchers, "order-1"), ==, 1);
+	client_destroy(client);
+	run_for(world, 2000);
+	g_assert_true(g_subprocess_wait(vm->process, NULL, NULL));
+	g_assert_true(g_subprocess_get_successful(vm->process));
+	g_assert_true(has_logged(vm, "\"stopped\""));
+	g_string_free(exchange.body, TRUE);
+	g_free(order);
+	world_destroy(world);
+}
+
+/* Without searchers an order is refused at once, has not run and never will. */
+static void
+test_refused_without_searchers(void)
+{
+	struct world *world = world_create(WORK);
+	struct vm *vm = &world->vms[0];
+	char *order = compose_order("order-2");
+	GString *body = g_string_new(NULL);
+
+	open_store(world);
+	start_vm(world);
+	g_assert_true(wait_logged(world, vm, "\"store_watching\""));
+	for (unsigned i = 0; i < SERVICES * REPLICAS; i++) {
+		char *id = searcher_id(i);
+
+		standin_store_remove(world->store, STANDIN_SEARCHERS, id);
+		g_free(id);
+	}
+	g_assert_true(wait_logged(world, vm, "\"searcher\":\"i-2-1\"}"));
+	g_assert_cmpuint(
+	    exchange_bytes(world, vm->callers, order, body), ==, 503);
+	g_assert_true(wait_logged(
+	    world, vm, "\"status\":503,\"reason\":\"unreachable\""));
+	write_searchers(world);
+	run_for(world, 500);
+	g_assert_cmpuint(
+	    standin_searchers_runs(world->searchers, "order-2"), ==, 0);
+	stop_vm(world, vm);
+	g_string_free(body, TRUE);
+	g_free(order);
+	world_destroy(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -489,5 +589,8 @@
 	g_test_add_func(
 	    "/entry-process/malformed-requests", test_malformed_requests);
 	g_test_add_func("/entry-process/store-outages", test_store_outages);
+	g_test_add_func("/entry-process/planned-stop", test_planned_stop);
+	g_test_add_func("/entry-process/refused-without-searchers",
+	    test_refused_without_searchers);
 	return g_test_run();
 }
