Read the whole change once more: one command line, one writer of settings, checked names

- daemon/options.c parses the command line of both servers.
- The stand-in writes the settings of VMs and names its searchers for soak and tests.
- A hedge asks by itself whether the request may be repeated, instead of relying on a timer that is unset.
- Names in settings must fit into logs and reports as they are.

--- a/ctl/follow.c
+++ b/ctl/follow.c
@@ -28,8 +28,7 @@
 
 /* Events that touch single requests; all others change what is believed. */
 static const char *const request_events[] = {"answered", "attempt_failed",
-    "attempt_repeated", "request_refused", "request_malformed", "caller_left",
-    "stale_answer"};
+    "attempt_repeated", "request_refused", "request_malformed", "caller_left"};
 
 static void
 line_destroy(gpointer data)
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -2,7 +2,6 @@
  * @file
  * wisteriavaned: one entry VM's process.
  */
-#include <argp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,11 +15,10 @@
 #include "daemon/control.h"
 #include "daemon/links.h"
 #include "daemon/operators.h"
+#include "daemon/options.h"
 #include "daemon/system_clock.h"
 #include "daemon/worker.h"
 
-/** Exit code for faulty settings. */
-#define EXIT_SETTINGS 2
 /** Bits of an incarnation that are random. */
 #define INCARNATION_RANDOM_BITS 16
 /** Bytes of an operator's request; a contract may have up to 1 MB. */
@@ -30,39 +28,6 @@
 /** Time for the last answers to leave, us. */
 #define LAST_ANSWERS 100000L
 
-struct options {
-	const char *settings;
-	const char *check;
-};
-
-static const struct argp_option argp_options[] = {
-    {"settings", 's', "FILE", 0, "settings in JSON", 0},
-    {"check-settings", 'c', "FILE", 0,
-	"check settings and exit: 0 if they are good, 2 if not", 0},
-    {0},
-};
-
-static error_t
-parse_option(int key, char *arg, struct argp_state *state)
-{
-	struct options *options = state->input;
-
-	switch (key) {
-	case 's':
-		options->settings = arg;
-		return 0;
-	case 'c':
-		options->check = arg;
-		return 0;
-	case ARGP_KEY_END:
-		if (options->settings == NULL && options->check == NULL)
-			argp_error(state, "--settings is needed");
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
 /* Reads settings from a file; prints every fault. */
 static struct wv_settings *
 read_settings(const char *file)
@@ -91,7 +56,7 @@
 	struct wv_settings *settings = read_settings(file);
 
 	if (settings == NULL)
-		return EXIT_SETTINGS;
+		return OPTIONS_EXIT_SETTINGS;
 	printf("%s: ok\n", file);
 	wv_settings_destroy(settings);
 	return EXIT_SUCCESS;
@@ -218,15 +183,13 @@
 int
 main(int argc, char **argv)
 {
-	const struct argp argp = {argp_options, parse_option, NULL,
-	    "An entry VM of the wisteriavane query tier.", NULL, NULL, NULL};
-	struct options options = {NULL, NULL};
+	struct options options = options_parse(
+	    argc, argv, "An entry VM of the wisteriavane query tier.");
 	struct wv_settings *settings;
 	struct daemon *daemon;
 	sigset_t signals;
 	int result;
 
-	argp_parse(&argp, argc, argv, 0, NULL, &options);
 	if (options.check != NULL)
 		return check_settings(options.check);
 	sigemptyset(&signals);
@@ -238,7 +201,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	settings = read_settings(options.settings);
 	if (settings == NULL)
-		return EXIT_SETTINGS;
+		return OPTIONS_EXIT_SETTINGS;
 	daemon = g_new0(struct daemon, 1);
 	daemon->settings = settings;
 	system_clock_init(&daemon->clock);
--- a/entry/main.c
+++ b/entry/main.c
@@ -2,7 +2,6 @@
  * @file
  * wisteriavane-entry: serves callers on an entry VM of a platform.
  */
-#include <argp.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -10,14 +9,11 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "daemon/options.h"
 #include "daemon/system_clock.h"
 #include "entry/entry.h"
 #include "entry/socket.h"
 
-/** Exit code for faulty settings. */
-#define EXIT_SETTINGS 2
-/** Variable that names the settings file if no option does. */
-#define SETTINGS_VARIABLE "WISTERIAVANE_SETTINGS"
 /** Time between looks whether a stop has ended, ms. */
 #define STOP_LOOK 100
 /** Callers may keep an address so many times longer than they are told. */
@@ -25,44 +21,6 @@
 /** Time before the end of a stop at which the rest is answered, ms. */
 #define STOP_MARGIN 400.0
 
-struct options {
-	const char *settings;
-	const char *check;
-};
-
-static const struct argp_option argp_options[] = {
-    {"settings", 's', "FILE", 0,
-	"settings in JSON; else the variable " SETTINGS_VARIABLE
-	" names the file",
-	0},
-    {"check-settings", 'c', "FILE", 0,
-	"check settings and exit: 0 if they are good, 2 if not", 0},
-    {0},
-};
-
-static error_t
-parse_option(int key, char *arg, struct argp_state *state)
-{
-	struct options *options = state->input;
-
-	switch (key) {
-	case 's':
-		options->settings = arg;
-		return 0;
-	case 'c':
-		options->check = arg;
-		return 0;
-	case ARGP_KEY_END:
-		if (options->settings == NULL)
-			options->settings = getenv(SETTINGS_VARIABLE);
-		if (options->settings == NULL && options->check == NULL)
-			argp_error(state, "--settings is needed");
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
 /* Reads settings and prints every fault. */
 static struct entry_settings *
 read_settings(const char *file)
@@ -82,7 +40,7 @@
 	struct entry_settings *settings = read_settings(file);
 
 	if (settings == NULL)
-		return EXIT_SETTINGS;
+		return OPTIONS_EXIT_SETTINGS;
 	printf("%s: ok\n", file);
 	entry_settings_destroy(settings);
 	return EXIT_SUCCESS;
@@ -368,7 +326,7 @@
 
 	entry->settings = read_settings(file);
 	if (entry->settings == NULL)
-		return EXIT_SETTINGS;
+		return OPTIONS_EXIT_SETTINGS;
 	entry->settings_file = g_strdup(file);
 	system_clock_init(&entry->clock);
 	entry->base = event_base_new();
@@ -391,11 +349,9 @@
 int
 main(int argc, char **argv)
 {
-	static const struct argp argp = {argp_options, parse_option, NULL,
-	    "Serves callers on an entry VM.", NULL, NULL, NULL};
-	struct options options = {0};
+	struct options options =
+	    options_parse(argc, argv, "Serves callers on an entry VM.");
 
-	argp_parse(&argp, argc, argv, 0, NULL, &options);
 	if (options.check != NULL)
 		return check_settings(options.check);
 	signal(SIGPIPE, SIG_IGN);
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -8,6 +8,9 @@
 #include "entry/socket.h"
 #include "http/json.h"
 
+/** Longest name, bytes; two of them fit into a report to another VM. */
+#define NAME_MOST 255
+
 enum field_kind { FIELD_NAME, FIELD_ADDRESS, FIELD_NUMBER };
 
 struct field {
@@ -61,6 +64,19 @@
 	return NULL;
 }
 
+/* Names stand in logs and in reports to other VMs as they are. */
+static bool
+is_name(struct wv_string text)
+{
+	for (size_t i = 0; i < text.length; i++) {
+		char c = text.data[i];
+
+		if (!g_ascii_isprint(c) || c == '"' || c == '\\')
+			return false;
+	}
+	return text.length <= NAME_MOST;
+}
+
 static void
 read_text(struct entry_settings *settings, const struct field *field,
     JsonObject *object, GPtrArray *faults)
@@ -77,6 +93,12 @@
 		add_fault(faults, field->name, "not an IPv4 address and port");
 		return;
 	}
+	if (field->kind == FIELD_NAME && !is_name(value)) {
+		add_fault(faults, field->name,
+		    "a name has at most 255 printable ASCII characters, "
+		    "without quotes and backslashes");
+		return;
+	}
 	*(char **)((char *)settings + field->offset) = g_strdup(value.data);
 }
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -202,7 +202,7 @@
 static char *
 searcher_id(unsigned i)
 {
-	return g_strdup_printf("i-%u-%u", i / SOAK_REPLICAS, i % SOAK_REPLICAS);
+	return standin_searcher_id(i / SOAK_REPLICAS, i % SOAK_REPLICAS);
 }
 
 static void
--- a/soak/main.c
+++ b/soak/main.c
@@ -77,15 +77,16 @@
 write_settings(const struct soak *soak, const struct soak_vm *vm,
     const unsigned int *ports)
 {
-	char *text = g_strdup_printf(
-	    "{\"vm\":\"%s\",\"zone\":\"z1\",\"callers\":\"%s\","
-	    "\"addresses\":\"%s\",\"readiness\":\"%s:%u\","
-	    "\"peers\":\"%s:%u\",\"metrics\":\"%s:%u\","
-	    "\"store\":\"%s\",\"capacity\":0.5,\"retry_ratio\":0.2,"
-	    "\"retry_slack\":60,\"retry_window_s\":10,\"stop_s\":4,"
-	    "\"address_lifetime_s\":0.5}",
-	    vm->name, vm->callers, vm->addresses, soak->ip, ports[2], soak->ip,
-	    ports[3], soak->ip, ports[4], proxy_address(vm->store));
+	struct standin_vm standin = {.name = vm->name,
+	    .callers = vm->callers,
+	    .addresses = vm->addresses,
+	    .store = proxy_address(vm->store),
+	    .ip = soak->ip,
+	    .readiness = ports[2],
+	    .peers = ports[3],
+	    .metrics = ports[4],
+	    .stop_s = 4};
+	char *text = standin_vm_settings(&standin);
 
 	g_file_set_contents(vm->settings, text, -1, NULL);
 	g_free(text);
@@ -112,8 +113,8 @@
 {
 	for (unsigned i = 0; i < SOAK_SERVICES * SOAK_REPLICAS; i++) {
 		char *address = g_strdup_printf("%s:%u", soak->ip, ports[i]);
-		char *id = g_strdup_printf(
-		    "i-%u-%u", i / SOAK_REPLICAS, i % SOAK_REPLICAS);
+		char *id =
+		    standin_searcher_id(i / SOAK_REPLICAS, i % SOAK_REPLICAS);
 		char service[16];
 
 		g_snprintf(service, sizeof(service), "s%u", i / SOAK_REPLICAS);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -262,11 +262,10 @@
 }
 
 bool
-dispatch_settle(struct wv_dispatch *dispatch, wv_msec now, struct wv_task *task)
+dispatch_settle(struct wv_dispatch *dispatch, struct wv_task *task)
 {
 	bool enough = task->included >= task->needed;
 
-	(void)now;
 	if (task->route->kind == WV_ROUTE_SINGLE) {
 		if (task->shards[0].message != NULL)
 			relay(dispatch, task);
@@ -326,7 +325,7 @@
 	dispatch_pace_admitted(task->pace, true);
 	for (size_t i = 0; i < task->n_shards; i++)
 		dispatch_place(dispatch, now, &task->shards[i]);
-	if (dispatch_settle(dispatch, now, task))
+	if (dispatch_settle(dispatch, task))
 		return false;
 	task->stage = task->route->kind == WV_ROUTE_SCATTER ? STAGE_TARGET
 							    : STAGE_DEADLINE;
--- a/src/dispatch_private.h
+++ b/src/dispatch_private.h
@@ -113,8 +113,7 @@
     struct wv_fleet_service *service);
 
 /** Gives a part up; does not look at the task. */
-void dispatch_give_up(struct wv_dispatch *dispatch, struct wv_shard *shard,
-    enum wv_reason reason);
+void dispatch_give_up(struct wv_shard *shard, enum wv_reason reason);
 
 /** Most urgent first: by rank, then by deadline. */
 int dispatch_compare(const struct wv_task *first, const struct wv_task *second);
@@ -137,8 +136,7 @@
     struct wv_fleet_service *service);
 
 /** Answers the task if it can be answered now; returns whether it ended. */
-bool dispatch_settle(
-    struct wv_dispatch *dispatch, wv_msec now, struct wv_task *task);
+bool dispatch_settle(struct wv_dispatch *dispatch, struct wv_task *task);
 
 /** Answers and ends the task. */
 void dispatch_finish(struct wv_dispatch *dispatch, struct wv_task *task,
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -140,14 +140,12 @@
 	else if (dispatch_reachable(shard->service, now))
 		wait_for_room(dispatch, now, shard);
 	else
-		dispatch_give_up(dispatch, shard, WV_REASON_UNREACHABLE);
+		dispatch_give_up(shard, WV_REASON_UNREACHABLE);
 }
 
 void
-dispatch_give_up(
-    struct wv_dispatch *dispatch, struct wv_shard *shard, enum wv_reason reason)
+dispatch_give_up(struct wv_shard *shard, enum wv_reason reason)
 {
-	(void)dispatch;
 	if (shard->settled)
 		return;
 	stop_waiting(shard);
@@ -203,7 +201,8 @@
 	struct wv_searcher *searcher;
 	wv_msec again = dispatch_pace_hedge(task->pace, task->route);
 
-	if (!may_repeat(shard, now))
+	/* Whatever the timer stood for: nothing else runs beside such a run. */
+	if (!task->route->idempotent || !may_repeat(shard, now))
 		return;
 	searcher = dispatch_pick(dispatch, now, shard, PURPOSE_HEDGE);
 	if (searcher != NULL &&
@@ -226,8 +225,8 @@
 	if (shard->settled)
 		return;
 	if (shard->waiting) {
-		dispatch_give_up(dispatch, shard, WV_REASON_NO_CAPACITY);
-		dispatch_settle(dispatch, now, task);
+		dispatch_give_up(shard, WV_REASON_NO_CAPACITY);
+		dispatch_settle(dispatch, task);
 		dispatch_admit_held(dispatch, now, service);
 		return;
 	}
@@ -282,7 +281,7 @@
 	if (repeat && retry(dispatch, now, shard))
 		return;
 	if (shard->live == 0)
-		dispatch_give_up(dispatch, shard, reason_of(end));
+		dispatch_give_up(shard, reason_of(end));
 }
 
 /*
@@ -338,8 +337,8 @@
 			start_attempt(
 			    dispatch, now, shard, searcher, shard->arrived);
 		} else {
-			dispatch_give_up(dispatch, shard, WV_REASON_REJECTED);
-			dispatch_settle(dispatch, now, shard->task);
+			dispatch_give_up(shard, WV_REASON_REJECTED);
+			dispatch_settle(dispatch, shard->task);
 		}
 	}
 }
@@ -385,7 +384,7 @@
 	if (!kept && reply->message != NULL)
 		dispatch->ops->drop(dispatch->ops, reply->message);
 	if (task != NULL)
-		dispatch_settle(dispatch, now, task);
+		dispatch_settle(dispatch, task);
 	dispatch_pump(dispatch, now, service);
 }
 
--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -145,7 +145,7 @@
 static char *
 searcher_id(unsigned i)
 {
-	return g_strdup_printf("i-%u-%u", i / REPLICAS, i % REPLICAS);
+	return standin_searcher_id(i / REPLICAS, i % REPLICAS);
 }
 
 static void
@@ -199,21 +199,23 @@
 	    world->ports + 1 + SERVICES * REPLICAS + (size_t)i * VM_PORTS;
 	GSubprocessLauncher *launcher =
 	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	struct standin_vm standin = {.ip = "127.0.0.1",
+	    .readiness = ports[2],
+	    .peers = ports[3],
+	    .metrics = ports[4],
+	    .stop_s = 2};
+	char *name = g_strdup_printf("vm%u", i);
 	char *text;
 
 	vm->settings = g_strdup_printf("%s/vm%u.json", world->dir, i);
 	vm->log = g_strdup_printf("%s/vm%u.log", world->dir, i);
 	vm->callers = g_strdup_printf("127.0.0.1:%u", ports[0]);
 	vm->addresses = g_strdup_printf("127.0.0.1:%u", ports[1]);
-	text = g_strdup_printf(
-	    "{\"vm\":\"vm%u\",\"zone\":\"z1\",\"callers\":\"%s\","
-	    "\"addresses\":\"%s\",\"readiness\":\"127.0.0.1:%u\","
-	    "\"peers\":\"127.0.0.1:%u\",\"metrics\":\"127.0.0.1:%u\","
-	    "\"store\":\"%s\",\"capacity\":0.5,\"retry_ratio\":0.2,"
-	    "\"retry_slack\":60,\"retry_window_s\":10,\"stop_s\":2,"
-	    "\"address_lifetime_s\":0.5}",
-	    i, vm->callers, vm->addresses, ports[2], ports[3], ports[4],
-	    world->store_address);
+	standin.name = name;
+	standin.callers = vm->callers;
+	standin.addresses = vm->addresses;
+	standin.store = world->store_address;
+	text = standin_vm_settings(&standin);
 	g_assert_true(g_file_set_contents(vm->settings, text, -1, NULL));
 	g_subprocess_launcher_set_child_setup(
 	    launcher, end_with_parent, NULL, NULL);
@@ -223,6 +225,7 @@
 	    NULL);
 	g_assert_nonnull(vm->process);
 	g_object_unref(launcher);
+	g_free(name);
 	g_free(text);
 }
 
--- a/test/test_entry_settings.c
+++ b/test/test_entry_settings.c
@@ -62,6 +62,20 @@
 	check_fault("{\"vm\"", "\"vm\"", "$:");
 }
 
+/* Names stand in logs and in reports to other VMs as they are. */
+static void
+test_names(void)
+{
+	char *name = g_strnfill(256, 'a');
+	char *quoted = g_strdup_printf("\"%s\"", name);
+
+	check_fault("\"z1\"", quoted, "$.zone: a name");
+	check_fault("\"z1\"", "\"z\\\"1\"", "$.zone: a name");
+	check_fault("\"vm1\"", "\"vm\\n1\"", "$.vm: a name");
+	g_free(quoted);
+	g_free(name);
+}
+
 /* All faults are named, not just the first. */
 static void
 test_all_faults(void)
@@ -80,5 +94,6 @@
 	g_test_add_func("/entry-settings/good", test_good);
 	g_test_add_func("/entry-settings/faults", test_faults);
 	g_test_add_func("/entry-settings/all", test_all_faults);
+	g_test_add_func("/entry-settings/names", test_names);
 	return g_test_run();
 }
