Keep a slot until its searcher has told that the work ended

The executor gave its slot back 10 ms after the deadline and 5 ms for the connection without a word of the searcher. The HTTP exchange ended at the deadline too, so a later answer could not tell that the slot was free.

Ruled out: two VMs that send for one lane (all attempts carry the identifier of one process); runs of the killed holder (it waits for the attempt limit).

Change: the daemon waits 500 ms for a word, on the open exchange; an answer 504 or 410 of a searcher that had started tells that the slot is free. The searcher counts as silent as before, so lost ones are found as fast.

Tests: late-job-keeps-slot and silent-slot-is-bounded fail without the change.

--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -170,7 +170,11 @@
 		return WV_REPLY_ANSWERED;
 	if (http_status == 409 && not_started)
 		return WV_REPLY_VERSION_GONE;
-	return not_started ? WV_REPLY_NOT_STARTED : WV_REPLY_FAILED;
+	if (not_started)
+		return WV_REPLY_NOT_STARTED;
+	if (http_status == 504 || http_status == 410)
+		return WV_REPLY_STOPPED;
+	return WV_REPLY_FAILED;
 }
 
 static void
@@ -275,7 +279,9 @@
 	http.address = request->info->address;
 	http.path = request->work == WV_WORK_JOB ? "/v1/job" : "/v1/search";
 	http.body = request_body(request, expires);
-	http.timeout = request->timeout;
+	/* The searcher's word that its slot is free may come late. */
+	http.timeout = request->timeout + UPSTREAM_SLOT_MARGIN;
+	http.connect_timeout = request->timeout;
 	http.once = request->work == WV_WORK_JOB;
 	http.release = attempt_call_destroy;
 	wv_counter_add(&upstream->daemon->stats.attempts_sent, 1);
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -8,6 +8,14 @@
 #include "daemon/daemon.h"
 #include "http/client.h"
 
+/**
+ * Time after an attempt's deadline for which the searcher's word is awaited
+ * while its slot counts as taken, ms. Bounds how long a searcher that was lost
+ * without a word keeps a slot; a process that stalls for longer may be sent
+ * more than its slots hold.
+ */
+#define UPSTREAM_SLOT_MARGIN 500.0
+
 /** Receives what searchers say about one executor's attempts. */
 struct upstream {
 	struct daemon *daemon;
--- a/daemon/worker.c
+++ b/daemon/worker.c
@@ -244,6 +244,7 @@
 	config.next_attempt = &worker->next_attempt;
 	config.lane = number;
 	config.seed = (uint32_t)(config.incarnation ^ number);
+	config.slot_margin = UPSTREAM_SLOT_MARGIN;
 	lane->executor = wv_executor_create(&config, topology, &lane->sink);
 	lane->upstream.daemon = daemon;
 	lane->upstream.client = worker->client;
--- a/http/client.c
+++ b/http/client.c
@@ -11,7 +11,7 @@
 /** Largest answer that is read, in bytes. */
 #define MAX_ANSWER (4u << 20)
 /** Longest wait for a connection, ms. */
-#define CONNECT_TIMEOUT 1000L
+#define CONNECT_TIMEOUT 1000.0
 
 struct exchange {
 	CURL *easy;
@@ -140,11 +140,14 @@
 static void
 set_options(struct exchange *ex, const struct wv_http_request *request)
 {
-	long timeout = request->timeout < 1 ? 1 : (long)request->timeout;
+	wv_msec connect = request->connect_timeout > 0
+	    ? request->connect_timeout
+	    : request->timeout;
 
-	curl_easy_setopt(ex->easy, CURLOPT_TIMEOUT_MS, timeout);
+	curl_easy_setopt(
+	    ex->easy, CURLOPT_TIMEOUT_MS, (long)MAX(request->timeout, 1));
 	curl_easy_setopt(ex->easy, CURLOPT_CONNECTTIMEOUT_MS,
-	    timeout < CONNECT_TIMEOUT ? timeout : CONNECT_TIMEOUT);
+	    (long)CLAMP(connect, 1, CONNECT_TIMEOUT));
 	curl_easy_setopt(ex->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(ex->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(ex->easy, CURLOPT_PROXY, "");
--- a/http/client.h
+++ b/http/client.h
@@ -24,6 +24,7 @@
 	struct wv_string body; /**< empty for none */
 	const char *token; /**< bearer token, or NULL */
 	wv_msec timeout;
+	wv_msec connect_timeout; /**< 0 is as long as the timeout */
 	/**
 	 * Sent at most once: on a connection of its own, since libcurl repeats
 	 * a request by itself when a reused connection turns out to be dead.
--- a/src/executor.c
+++ b/src/executor.c
@@ -9,6 +9,8 @@
 /** Usual values of the settings. */
 #define USUAL_MAX_HITS 20
 #define USUAL_QUEUE_LIMIT 128
+/** Where processes hardly stall, ms. */
+#define USUAL_SLOT_MARGIN 10.0
 
 GHashTable *
 wv_string_table_create(GDestroyNotify destroy_value)
@@ -50,6 +52,7 @@
 	config->max_hits = USUAL_MAX_HITS;
 	config->queue_limit = USUAL_QUEUE_LIMIT;
 	config->hedge = true;
+	config->slot_margin = USUAL_SLOT_MARGIN;
 }
 
 struct wv_executor *
@@ -198,7 +201,8 @@
 	attempt = wv_attempt_enter(executor, running->attempt, searcher);
 	attempt->adopted = true;
 	attempt->until = running->until;
-	wv_timers_set(&executor->timers, &attempt->timer, attempt->until);
+	attempt->free_at = running->until;
+	wv_timers_set(&executor->timers, &attempt->timer, attempt->free_at);
 }
 
 void
@@ -215,7 +219,7 @@
 		struct wv_running_attempt running = {
 		    .attempt = attempt->id,
 		    .searcher = attempt->searcher->id,
-		    .until = attempt->until,
+		    .until = attempt->free_at,
 		};
 
 		visit(data, &running);
@@ -374,6 +378,10 @@
 		time_out(executor, now, attempt);
 		return;
 	}
+	if (now < attempt->free_at) {
+		wv_attempt_silent(executor, now, attempt);
+		return;
+	}
 	executor->counters.slots_expired++;
 	wv_attempt_close(executor, now, attempt, false);
 }
--- a/src/executor_attempt.c
+++ b/src/executor_attempt.c
@@ -146,21 +146,39 @@
 	wv_attempt_free(executor, now, attempt);
 }
 
-void
-wv_attempt_close(struct wv_executor *executor, wv_msec now,
+/* Tells the replica of an attempt that was given up, once. */
+static void
+judge_given_up(struct wv_executor *executor, wv_msec now,
     struct attempt *attempt, bool heard)
 {
 	struct searcher *searcher = attempt->searcher;
 
-	if (!attempt->adopted && !attempt->judged &&
-	    attempt->generation == searcher->generation) {
-		wv_replica_given_up(searcher->replica, now,
-		    attempt->given_up - attempt->sent, heard);
-		wv_searcher_check(executor, searcher);
-	}
+	if (attempt->adopted || attempt->judged)
+		return;
+	attempt->judged = true;
+	if (attempt->generation != searcher->generation)
+		return;
+	wv_replica_given_up(
+	    searcher->replica, now, attempt->given_up - attempt->sent, heard);
+	wv_searcher_check(executor, searcher);
+}
+
+void
+wv_attempt_close(struct wv_executor *executor, wv_msec now,
+    struct attempt *attempt, bool heard)
+{
+	judge_given_up(executor, now, attempt, heard);
 	wv_attempt_free(executor, now, attempt);
 }
 
+void
+wv_attempt_silent(
+    struct wv_executor *executor, wv_msec now, struct attempt *attempt)
+{
+	judge_given_up(executor, now, attempt, false);
+	wv_timers_set(&executor->timers, &attempt->timer, attempt->free_at);
+}
+
 void
 wv_attempt_give_up(struct wv_executor *executor, wv_msec now,
     struct attempt *attempt, bool cancel)
@@ -169,7 +187,8 @@
 
 	detach(attempt);
 	attempt->given_up = now;
-	wv_timers_set(&executor->timers, &attempt->timer, attempt->until);
+	wv_timers_set(&executor->timers, &attempt->timer,
+	    now < attempt->until ? attempt->until : attempt->free_at);
 	if (!cancel || index == SIZE_MAX)
 		return;
 	executor->counters.cancels++;
@@ -269,14 +288,18 @@
 	struct wv_attempt_id id = {executor->config.vm,
 	    executor->config.incarnation, ++*executor->config.next_attempt};
 	struct attempt *attempt = wv_attempt_enter(executor, id, searcher);
+	wv_msec latest;
 	wv_msec wait;
 
 	attempt->shard = shard;
 	attempt->rank = query->rank;
 	attempt->sent = now;
 	attempt->given_up = now;
-	attempt->until = attempt_deadline(executor, now, query) + SLOT_MARGIN +
+	latest = attempt_deadline(executor, now, query) +
 	    executor->topology->searchers[searcher->index].connect_cost;
+	attempt->until = latest + REPLY_MARGIN;
+	attempt->free_at =
+	    MAX(attempt->until, latest + executor->config.slot_margin);
 	shard->running[shard->n_running++] = attempt;
 	shard->n_sent++;
 	if (shard->state == SHARD_WAITING)
--- a/src/executor_private.h
+++ b/src/executor_private.h
@@ -8,13 +8,11 @@
 #include "src/query.h"
 
 /**
- * Time after an attempt's deadline at which its slot is given back without
- * the searcher's word, ms; the cost of a new connection is added. Covers the
- * way to the searcher, whose deadline starts later, and its timer. A cancel
- * that arrives after the searcher has stopped by itself is answered with
- * "unknown", so at saturation this time is often waited for.
+ * Time after an attempt's deadline at which its searcher counts as silent,
+ * ms; the cost of a new connection is added. Covers the way to the searcher,
+ * whose deadline starts later, and its timer.
  */
-#define SLOT_MARGIN 10.0
+#define REPLY_MARGIN 10.0
 /** Restarts of one query on a newer snapshot. */
 #define MOST_RESTARTS 2
 /** Latencies of a service that must be known before it hedges. */
@@ -33,7 +31,8 @@
 	bool judged; /**< the replica was told how it ended */
 	wv_msec sent;
 	wv_msec given_up; /**< when the outcome ceased to count */
-	wv_msec until; /**< the slot is free then at the latest */
+	wv_msec until; /**< the searcher should have replied by then */
+	wv_msec free_at; /**< the slot is given back then at the latest */
 	struct attempt *next; /**< in the list of unused ones */
 };
 
@@ -110,6 +109,13 @@
 void wv_attempt_end(struct wv_executor *executor, wv_msec now,
     struct attempt *attempt, enum wv_reply_outcome outcome);
 
+/**
+ * Takes note that a searcher was silent about an attempt whose outcome no
+ * longer counts. The slot stays taken until free_at or a word of the searcher.
+ */
+void wv_attempt_silent(
+    struct wv_executor *executor, wv_msec now, struct attempt *attempt);
+
 /** Frees the slot of an attempt whose outcome no longer counts. */
 void wv_attempt_close(struct wv_executor *executor, wv_msec now,
     struct attempt *attempt, bool heard);
--- a/src/executor_shard.c
+++ b/src/executor_shard.c
@@ -264,6 +264,7 @@
 		    "the job was not sent to the searcher");
 		break;
 	case WV_REPLY_VERSION_GONE:
+	case WV_REPLY_STOPPED:
 	case WV_REPLY_FAILED:
 	case WV_REPLY_TIMED_OUT:
 		wv_query_fail(executor, now, query, WV_JOB_UNKNOWN,
--- a/src/replica.c
+++ b/src/replica.c
@@ -152,6 +152,7 @@
 	case WV_REPLY_VERSION_GONE:
 		recover(replica, now);
 		break;
+	case WV_REPLY_STOPPED:
 	case WV_REPLY_NOT_SENT:
 	case WV_REPLY_FAILED:
 	case WV_REPLY_TIMED_OUT:
--- a/standin/common/ports.c
+++ b/standin/common/ports.c
@@ -3,9 +3,11 @@
  * Free ports of the loopback interface.
  */
 #include <sys/socket.h>
+#include <sys/un.h>
 
 #include <glib.h>
 #include <netinet/in.h>
+#include <stddef.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -36,6 +38,48 @@
 	return -1;
 }
 
+/*
+ * Reserves a port among the programs that call this: an abstract address
+ * belongs to one socket, and the kernel releases it when the process ends, so
+ * the socket stays open. Returns the socket, or -1 if the port is reserved.
+ */
+static int
+reserve_port(unsigned int port)
+{
+	struct sockaddr_un address;
+	int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int length;
+
+	memset(&address, 0, sizeof(address));
+	address.sun_family = AF_UNIX;
+	/* The leading zero makes the address abstract. */
+	length = g_snprintf(address.sun_path + 1, sizeof(address.sun_path) - 1,
+	    "wisteriavane-port-%u", port);
+	if (fd >= 0 &&
+	    bind(fd, (struct sockaddr *)&address,
+		(socklen_t)(offsetof(struct sockaddr_un, sun_path) + 1 +
+		    (size_t)length)) == 0)
+		return fd;
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+/* Takes a port that is free and not reserved; returns the bound socket. */
+static int
+take_port(unsigned int port)
+{
+	int reserved = reserve_port(port);
+	int fd;
+
+	if (reserved < 0)
+		return -1;
+	fd = bind_port(port);
+	if (fd < 0)
+		close(reserved);
+	return fd;
+}
+
 bool
 standin_free_ports(unsigned int *ports, size_t n)
 {
@@ -45,7 +89,7 @@
 	for (size_t i = 0; i < TRIES * n && found < n; i++) {
 		ports[found] =
 		    (unsigned int)g_random_int_range(FIRST_PORT, LAST_PORT);
-		sockets[found] = bind_port(ports[found]);
+		sockets[found] = take_port(ports[found]);
 		if (sockets[found] >= 0)
 			found++;
 	}
--- a/standin/common/ports.h
+++ b/standin/common/ports.h
@@ -9,7 +9,8 @@
 #include <stddef.h>
 
 /**
- * Finds ports that are free now and differ from each other.
+ * Finds ports that are free now and differ from each other. No other process
+ * is given them by this function until the calling process has ended.
  *
  * They lie below the range that the kernel takes for outgoing connections:
  * a port of that range may be taken again before a process listens on it.
--- a/standin/common/searcher.c
+++ b/standin/common/searcher.c
@@ -23,6 +23,7 @@
 	char *text; /* query, or key of a job */
 	uint64_t version;
 	uint64_t map;
+	wv_msec arrived; /* monotonic */
 	wv_msec deadline; /* monotonic */
 	bool job;
 	bool expired; /* the deadline ended the work */
@@ -86,6 +87,16 @@
 		searcher->double_runs++;
 }
 
+/* Prints one request for whoever reads the log after a test failed. */
+static void
+print_run(const char *what, const struct run *run, wv_msec now)
+{
+	g_printerr("  %s %s service %s, %s, arrived %.1f ms ago, "
+		   "deadline in %.1f ms\n",
+	    what, run->attempt, run->service, run->job ? "job" : "search",
+	    now - run->arrived, run->deadline - now);
+}
+
 /* Takes a slot and works until the service time or the deadline ends. */
 static void
 run_begin(struct run *run)
@@ -96,8 +107,12 @@
 
 	searcher->busy++;
 	searcher->started_runs++;
-	if (searcher->draining && now > searcher->drain_began + DRAIN_GRACE)
+	if (searcher->draining && now > searcher->drain_began + DRAIN_GRACE) {
 		searcher->late_runs++;
+		g_printerr("late run at %.1f, drain began at %.1f\n", now,
+		    searcher->drain_began);
+		print_run("late", run, now);
+	}
 	if (run->job)
 		count_job(searcher, run->text);
 	else if (now + time > run->deadline) {
@@ -308,6 +323,22 @@
 	return false;
 }
 
+/* Tells which requests are present when one more exceeds the slots. */
+static void
+report_excess(const struct searcher *searcher, const struct run *run)
+{
+	wv_msec now = standin_now();
+	GHashTableIter iter;
+	void *present;
+
+	g_printerr("searcher %p: more requests than slots at %.1f\n",
+	    (const void *)searcher, now);
+	print_run("new", run, now);
+	g_hash_table_iter_init(&iter, searcher->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &present))
+		print_run("present", present, now);
+}
+
 /* Returns 0, or the HTTP status that refuses a request before it starts. */
 static unsigned int
 check_start(struct searcher *searcher, const struct run *run, wv_msec expires)
@@ -316,6 +347,8 @@
 	unsigned int present = searcher->busy + searcher->waiting.length;
 
 	searcher->max_busy = MAX(searcher->max_busy, present + 1);
+	if (present >= config->slots)
+		report_excess(searcher, run);
 	if (!run->job && !holds_snapshot(searcher, run)) {
 		searcher->refused_snapshot++;
 		return 409;
@@ -343,8 +376,9 @@
 	run->text = g_strdup(wv_json_string(body, job ? "key" : "query").data);
 	run->version = (uint64_t)wv_json_number(body, "version", 0);
 	run->map = (uint64_t)wv_json_number(body, "map", 0);
+	run->arrived = standin_now();
 	run->deadline =
-	    standin_now() + wv_json_number(body, "deadline_ms", 60000);
+	    run->arrived + wv_json_number(body, "deadline_ms", 60000);
 	run->job = job;
 	return run;
 }
--- a/test/lane.h
+++ b/test/lane.h
@@ -141,30 +141,48 @@
 	return contract;
 }
 
-/** Creates a lane with the right to send; takes topology and contract. */
-static inline struct lane *
-lane_create_numbered(
-    struct wv_topology *topology, struct wv_contract *contract, uint32_t number)
+/** Gives the usual settings under the lane's identity. */
+static inline struct wv_executor_config
+lane_config(uint32_t number)
 {
-	struct lane *lane = g_new0(struct lane, 1);
 	struct wv_executor_config config;
 
 	wv_executor_config_init(&config);
 	config.vm = LANE_VM;
 	config.incarnation = LANE_INCARNATION;
 	config.lane = number;
+	return config;
+}
+
+/** Creates a lane with the right to send; takes topology and contract. */
+static inline struct lane *
+lane_create_configured(struct wv_topology *topology,
+    struct wv_contract *contract, const struct wv_executor_config *config)
+{
+	struct lane *lane = g_new0(struct lane, 1);
+
 	lane->sink.ops = &lane_ops;
 	lane->topology = topology;
 	lane->contract = contract;
 	lane->sends = g_array_new(FALSE, TRUE, sizeof(struct lane_send));
 	lane->cancels = g_array_new(FALSE, TRUE, sizeof(struct wv_attempt_id));
 	lane->answers = g_array_new(FALSE, TRUE, sizeof(struct lane_answer));
-	lane->executor = wv_executor_create(&config, topology, &lane->sink);
+	lane->executor = wv_executor_create(config, topology, &lane->sink);
 	/* Limits start empty; they fill long before the tests begin at 0. */
 	wv_executor_set_right(lane->executor, -10000, WV_MSEC_NEVER);
 	return lane;
 }
 
+/** Creates a lane by its number. */
+static inline struct lane *
+lane_create_numbered(
+    struct wv_topology *topology, struct wv_contract *contract, uint32_t number)
+{
+	struct wv_executor_config config = lane_config(number);
+
+	return lane_create_configured(topology, contract, &config);
+}
+
 /** Creates the first lane. */
 static inline struct lane *
 lane_create(struct wv_topology *topology, struct wv_contract *contract)
--- a/test/test_executor.c
+++ b/test/test_executor.c
@@ -176,6 +176,68 @@
 	lane_destroy(lane);
 }
 
+/* Creates a lane of one slot that waits long for a searcher's word. */
+static struct lane *
+lane_patient(wv_msec slot_margin)
+{
+	struct wv_executor_config config = lane_config(0);
+
+	config.slot_margin = slot_margin;
+	return lane_create_configured(
+	    lane_topology(1, 1, 1, 1, 1, 1), lane_contract(1, 1, 0), &config);
+}
+
+/*
+ * A job whose deadline has passed may have reached a stalled searcher late, and
+ * cannot be cancelled: its slot is taken until the searcher tells its end.
+ */
+static void
+test_late_job_keeps_slot(void)
+{
+	struct lane *lane = lane_patient(500);
+
+	lane_job(lane, 0, 1, 50);
+	lane_job(lane, 1, 2, 900);
+	lane_run(lane, 300);
+	g_assert_cmpint(
+	    lane_answered(lane, 0)->status.code, ==, WV_JOB_UNKNOWN);
+	g_assert_cmpuint(lane->sends->len, ==, 1);
+	lane_reply(lane, 301, 0, WV_REPLY_ANSWERED);
+	g_assert_cmpuint(lane->sends->len, ==, 2);
+	lane_destroy(lane);
+}
+
+/* A searcher that is silent for ever must not keep its slots for ever. */
+static void
+test_silent_slot_is_bounded(void)
+{
+	struct lane *lane = lane_patient(500);
+
+	lane_search(lane, 0, 1, 50);
+	lane_search(lane, 1, 2, 900);
+	lane_run(lane, 540);
+	g_assert_cmpuint(lane->sends->len, ==, 1);
+	lane_run(lane, 570);
+	g_assert_cmpuint(lane->sends->len, ==, 2);
+	g_assert_cmpint(lane_counter(lane, "slots_expired"), ==, 1);
+	lane_destroy(lane);
+}
+
+/* A search that the searcher stopped at its deadline has left its slot. */
+static void
+test_stopped_frees_slot(void)
+{
+	struct lane *lane = lane_patient(500);
+
+	lane_search(lane, 0, 1, 50);
+	lane_search(lane, 1, 2, 900);
+	lane_run(lane, 100);
+	g_assert_cmpuint(lane->sends->len, ==, 1);
+	lane_reply(lane, 101, 0, WV_REPLY_STOPPED);
+	g_assert_cmpuint(lane->sends->len, ==, 2);
+	lane_destroy(lane);
+}
+
 /* A broken reply does not show that the searcher has stopped. */
 static void
 test_failed_keeps_slot(void)
@@ -636,6 +698,12 @@
 	g_test_add_func("/executor/expired-in-queue", test_expired_in_queue);
 	g_test_add_func(
 	    "/executor/cancelled-keeps-slot", test_cancelled_keeps_slot);
+	g_test_add_func(
+	    "/executor/late-job-keeps-slot", test_late_job_keeps_slot);
+	g_test_add_func(
+	    "/executor/silent-slot-is-bounded", test_silent_slot_is_bounded);
+	g_test_add_func(
+	    "/executor/stopped-frees-slot", test_stopped_frees_slot);
 	g_test_add_func("/executor/failed-keeps-slot", test_failed_keeps_slot);
 	g_test_add_func(
 	    "/executor/stray-replies", test_stray_replies_are_dropped);
--- a/wisteriavane/executor.h
+++ b/wisteriavane/executor.h
@@ -59,6 +59,7 @@
 	WV_REPLY_NOT_STARTED, /**< refused before it started */
 	WV_REPLY_VERSION_GONE, /**< version or map not held; not started */
 	WV_REPLY_NOT_SENT, /**< no byte left, such as a refused connection */
+	WV_REPLY_STOPPED, /**< started, stopped by deadline or cancel */
 	WV_REPLY_FAILED, /**< broken, truncated or malformed */
 	WV_REPLY_TIMED_OUT /**< no answer within the timeout */
 };
@@ -140,6 +141,13 @@
 	size_t max_hits; /**< hits kept in an answer */
 	uint32_t queue_limit; /**< waiting requests per rank */
 	bool hedge; /**< whether hedges are sent */
+	/**
+	 * Time after an attempt's deadline at which its slot is given back
+	 * without the searcher's word, ms. Covers the way to the searcher,
+	 * whose deadline starts later, its timer, and stalls of both processes.
+	 * The cost of a new connection is added.
+	 */
+	wv_msec slot_margin;
 };
 
 /** Sources that may report a leaving searcher. */
