Say when reports to other VMs cannot be sent

Cause: errors of sendto() were dropped without a line or a counter, so a VM that nobody heard looked healthy in its own log. Now each is counted (reports_unsent) and the log says when sending begins to fail and when it is possible again. test_entry_process: unsent-reports fails without it.

--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -37,6 +37,7 @@
 	X(routes_changes)                                         \
 	X(address_answers)                                        \
 	X(reports_sent)                                           \
+	X(reports_unsent)                                         \
 	X(reports_received)                                       \
 	X(reports_refused)
 
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -25,6 +25,7 @@
 	struct event *timer;
 	uint64_t sequence;
 	unsigned alive; /* as last logged */
+	bool failing; /* as last logged: a report could not be sent */
 };
 
 static size_t
@@ -53,6 +54,45 @@
 	return vm_report__pack(&report, buffer);
 }
 
+/* Sends one report; returns 0 or the error. */
+static int
+send_to(const struct reports *reports, const char *target,
+    const uint8_t *buffer, size_t length)
+{
+	struct sockaddr_in address;
+	ssize_t sent;
+
+	if (!socket_parse(target, &address))
+		return EADDRNOTAVAIL;
+	if (length == 0)
+		return EMSGSIZE;
+	sent = sendto(reports->fd, buffer, length, MSG_DONTWAIT,
+	    (struct sockaddr *)&address, sizeof(address));
+	return sent < 0 ? errno : 0;
+}
+
+/*
+ * Logs when sending begins to fail, with one of the errors, and when it is
+ * possible again.
+ */
+static void
+log_sending(struct reports *reports, const char *target, int error)
+{
+	bool failing = error != 0;
+
+	if (failing == reports->failing)
+		return;
+	reports->failing = failing;
+	if (failing)
+		log_line(reports->entry->log, LOG_CHANGE, "reports_unsent",
+		    "\"target\":\"%s\",\"error\":\"%s\"", target,
+		    g_strerror(error));
+	else
+		log_line(reports->entry->log, LOG_CHANGE, "reports_sent_again",
+		    "\"unsent\":%" G_GUINT64_FORMAT,
+		    wv_counter_read(&reports->entry->metrics.reports_unsent));
+}
+
 void
 reports_send(struct reports *reports)
 {
@@ -60,17 +100,24 @@
 	GPtrArray *targets = g_ptr_array_new();
 	uint8_t buffer[DATAGRAM_MOST];
 	size_t length = pack(reports, buffer);
+	const char *failed = "";
+	int error = 0;
 
 	wv_peers_targets(entry->peers, entry_now(entry), targets);
-	for (guint i = 0; i < targets->len && length > 0; i++) {
-		struct sockaddr_in address;
+	for (guint i = 0; i < targets->len; i++) {
+		int outcome =
+		    send_to(reports, targets->pdata[i], buffer, length);
 
-		if (!socket_parse(targets->pdata[i], &address))
+		if (outcome == 0) {
+			wv_counter_add(&entry->metrics.reports_sent, 1);
 			continue;
-		sendto(reports->fd, buffer, length, MSG_DONTWAIT,
-		    (struct sockaddr *)&address, sizeof(address));
-		wv_counter_add(&entry->metrics.reports_sent, 1);
+		}
+		wv_counter_add(&entry->metrics.reports_unsent, 1);
+		failed = targets->pdata[i];
+		error = outcome;
 	}
+	if (targets->len > 0)
+		log_sending(reports, failed, error);
 	g_ptr_array_free(targets, TRUE);
 }
 
--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -4,15 +4,19 @@
  * and the searchers.
  */
 #include <glib/gstdio.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "entry/client.h"
 #include "entry/dialect.h"
 #include "entry/socket.h"
 #include "http/json.h"
 #include "platform/standin/standin.h"
+#include "proto/vm_report.pb-c.h"
 #include "standin/common/ports.h"
 
 /** VMs of a test. */
@@ -335,6 +339,54 @@
 	world_destroy(world);
 }
 
+/* Reports a VM to another one, as anybody may. */
+static void
+report_vm(struct world *world, unsigned to, const char *peers)
+{
+	unsigned int port =
+	    world->ports[1 + SERVICES * REPLICAS + (size_t)to * VM_PORTS + 3];
+	VmReport report = VM_REPORT__INIT;
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	uint8_t buffer[256];
+	size_t length;
+
+	report.protocol = 1;
+	report.name = "reported";
+	report.incarnation = 1;
+	report.sequence = 1;
+	report.peers = (char *)peers;
+	report.callers = "127.0.0.1:1";
+	report.zone = "z0";
+	report.serving = true;
+	report.capacity = 1;
+	g_assert_cmpuint(
+	    vm_report__get_packed_size(&report), <=, sizeof(buffer));
+	length = vm_report__pack(&report, buffer);
+	g_assert_cmpint(sendto(fd, buffer, length, 0,
+			    (struct sockaddr *)&address, sizeof(address)),
+	    ==, (ssize_t)length);
+	close(fd);
+}
+
+/* A VM that cannot report to another one must say so. */
+static void
+test_unsent_reports(void)
+{
+	struct world *world = world_create(WORK);
+
+	open_store(world);
+	start_vm(world);
+	g_assert_true(wait_known(world));
+	/* Sending to a broadcast address is not permitted to the socket. */
+	report_vm(world, 0, "255.255.255.255:9");
+	g_assert_true(wait_logged(world, &world->vms[0], "reports_unsent"));
+	stop_vm(world, &world->vms[0]);
+	world_destroy(world);
+}
+
 /* A store that creates no entry until it is told to. */
 struct slow_store {
 	char *create_path;
@@ -592,6 +644,7 @@
 	g_test_init(&argc, &argv, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-process/start-at-once", test_start_at_once);
+	g_test_add_func("/entry-process/unsent-reports", test_unsent_reports);
 	g_test_add_func(
 	    "/entry-process/entry-before-list", test_entry_before_list);
 	g_test_add_func("/entry-process/bad-objects", test_bad_objects);
