Take changed settings of the entry server without a signal

The log line now names the cause, the faults, and the fields that differ but need a restart: those were ignored without a word. Tests: update (test_entry_settings), changed-settings (test_entry_process).

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -22,6 +22,7 @@
 struct gateway;
 struct store_sync;
 struct reports;
+struct reload;
 
 /** One entry VM. */
 struct entry {
@@ -99,4 +100,8 @@
 /** Sends reports at once, since the state of this VM has changed. */
 void reports_send(struct reports *reports);
 
+/** @name Settings that change while the process runs */
+struct reload *reload_create(struct entry *entry);
+void reload_destroy(struct reload *reload);
+
 #endif
--- a/entry/main.c
+++ b/entry/main.c
@@ -134,7 +134,7 @@
 	struct entry entry;
 	struct event *terminate;
 	struct event *interrupt;
-	struct event *reload;
+	struct reload *reload;
 	struct event *stop_timer;
 };
 
@@ -195,35 +195,6 @@
 	on_stop_timer(-1, 0, process);
 }
 
-/* Takes the settings that may change while the process runs. */
-static void
-apply_settings(struct entry *entry, struct entry_settings *settings)
-{
-	entry->settings->retry_ratio = settings->retry_ratio;
-	entry->settings->retry_slack = settings->retry_slack;
-	entry->settings->retry_window_s = settings->retry_window_s;
-	entry->settings->stop_s = settings->stop_s;
-	entry->settings->address_lifetime_s = settings->address_lifetime_s;
-	entry->settings->capacity = settings->capacity;
-	entry_set_terms(entry);
-}
-
-static void
-on_reload(evutil_socket_t fd, short what, void *data)
-{
-	struct process *process = data;
-	struct entry *entry = &process->entry;
-	struct entry_settings *settings = read_settings(entry->settings_file);
-
-	(void)fd;
-	(void)what;
-	log_line(entry->log, LOG_CHANGE, "settings_reloaded", "\"accepted\":%s",
-	    settings == NULL ? "false" : "true");
-	if (settings != NULL)
-		apply_settings(entry, settings);
-	entry_settings_destroy(settings);
-}
-
 static struct event *
 watch_signal(struct process *process, int number, event_callback_fn handler)
 {
@@ -284,7 +255,7 @@
 
 	process->terminate = watch_signal(process, SIGTERM, on_terminate);
 	process->interrupt = watch_signal(process, SIGINT, on_terminate);
-	process->reload = watch_signal(process, SIGHUP, on_reload);
+	process->reload = reload_create(entry);
 	process->stop_timer =
 	    event_new(entry->base, -1, 0, on_stop_timer, process);
 	log_line(entry->log, LOG_CHANGE, "started",
@@ -308,7 +279,7 @@
 	server_destroy(entry->changes);
 	event_free(process->terminate);
 	event_free(process->interrupt);
-	event_free(process->reload);
+	reload_destroy(process->reload);
 	event_free(process->stop_timer);
 	wv_routes_unref(entry->routes);
 	wv_peers_destroy(entry->peers);
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -3,6 +3,7 @@
  * Settings of the entry server.
  */
 #include <stddef.h>
+#include <string.h>
 
 #include "entry/settings.h"
 #include "entry/socket.h"
@@ -175,6 +176,25 @@
 	return settings;
 }
 
+void
+entry_settings_update(struct entry_settings *settings,
+    const struct entry_settings *newer, GPtrArray *kept)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		const struct field *field = &fields[i];
+		char *own = (char *)settings + field->offset;
+		const char *other = (const char *)newer + field->offset;
+
+		/* Numbers are terms; texts are names and bound addresses. */
+		if (field->kind == FIELD_NUMBER)
+			*(double *)(void *)own =
+			    *(const double *)(const void *)other;
+		else if (strcmp(*(char **)(void *)own,
+			     *(char *const *)(const void *)other) != 0)
+			g_ptr_array_add(kept, (void *)field->name);
+	}
+}
+
 void
 entry_settings_destroy(struct entry_settings *settings)
 {
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -39,6 +39,15 @@
 /** Reads settings from a file; an unreadable file is a fault. */
 struct entry_settings *entry_settings_read(const char *file, GPtrArray *faults);
 
+/**
+ * Takes from newer settings what may change while the process runs.
+ *
+ * @param kept  gets the names of fields that differ but need a restart;
+ *              static strings
+ */
+void entry_settings_update(struct entry_settings *settings,
+    const struct entry_settings *newer, GPtrArray *kept);
+
 /** Releases settings. NULL is allowed. */
 void entry_settings_destroy(struct entry_settings *settings);
 
--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -387,6 +387,49 @@
 	world_destroy(world);
 }
 
+/* Replaces a text in the settings file of a VM. */
+static void
+edit_settings(const struct vm *vm, const char *from, const char *to)
+{
+	GString *edited = g_string_new(NULL);
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(vm->settings, &text, NULL, NULL));
+	g_string_append(edited, text);
+	g_assert_cmpuint(g_string_replace(edited, from, to, 1), ==, 1);
+	g_assert_true(g_file_set_contents(vm->settings, edited->str, -1, NULL));
+	g_string_free(edited, TRUE);
+	g_free(text);
+}
+
+/* A changed file is taken without a signal; a faulty one is not. */
+static void
+test_changed_settings(void)
+{
+	struct world *world = world_create(WORK);
+	struct vm *vm = &world->vms[0];
+
+	open_store(world);
+	start_vm(world);
+	g_assert_true(wait_known(world));
+	edit_settings(
+	    vm, "\"address_lifetime_s\":0.5", "\"address_lifetime_s\":0.7");
+	g_assert_true(wait_logged(world, vm,
+	    "\"accepted\":true,\"cause\":\"file\",\"needs_restart\":\"\""));
+	edit_settings(vm, "\"zone\":\"", "\"zone\":\"other-");
+	g_assert_true(wait_logged(world, vm, "\"needs_restart\":\"zone\""));
+	edit_settings(vm, "\"address_lifetime_s\":0.7",
+	    "\"address_lifetime_s\":\"long\"");
+	g_assert_true(wait_logged(world, vm,
+	    "\"accepted\":false,\"cause\":\"file\",\"faults\":"
+	    "\"$.address_lifetime_s: "));
+	g_subprocess_send_signal(vm->process, SIGHUP);
+	g_assert_true(
+	    wait_logged(world, vm, "\"accepted\":false,\"cause\":\"signal\""));
+	stop_vm(world, vm);
+	world_destroy(world);
+}
+
 /* A store that creates no entry until it is told to. */
 struct slow_store {
 	char *create_path;
@@ -645,6 +688,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-process/start-at-once", test_start_at_once);
 	g_test_add_func("/entry-process/unsent-reports", test_unsent_reports);
+	g_test_add_func(
+	    "/entry-process/changed-settings", test_changed_settings);
 	g_test_add_func(
 	    "/entry-process/entry-before-list", test_entry_before_list);
 	g_test_add_func("/entry-process/bad-objects", test_bad_objects);
--- a/test/test_entry_settings.c
+++ b/test/test_entry_settings.c
@@ -87,6 +87,42 @@
 	g_ptr_array_unref(faults);
 }
 
+static struct entry_settings *
+parse(const char *text)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	struct entry_settings *settings =
+	    entry_settings_parse(wv_string_borrow(text), faults);
+
+	g_assert_nonnull(settings);
+	g_ptr_array_unref(faults);
+	return settings;
+}
+
+/* What is bound or named stays until a restart, and is told. */
+static void
+test_update(void)
+{
+	struct entry_settings *settings = parse(GOOD);
+	GString *text = g_string_new(GOOD);
+	GPtrArray *kept = g_ptr_array_new();
+	struct entry_settings *newer;
+
+	g_string_replace(text, "\"retry_slack\":58", "\"retry_slack\":7", 1);
+	g_string_replace(text, "127.0.0.1:5", "127.0.0.1:55", 1);
+	newer = parse(text->str);
+	entry_settings_update(settings, newer, kept);
+	g_assert_cmpfloat(settings->retry_slack, ==, 7);
+	g_assert_cmpfloat(settings->capacity, ==, 0.25);
+	g_assert_cmpstr(settings->metrics, ==, "127.0.0.1:5");
+	g_assert_cmpuint(kept->len, ==, 1);
+	g_assert_cmpstr(kept->pdata[0], ==, "metrics");
+	entry_settings_destroy(newer);
+	entry_settings_destroy(settings);
+	g_ptr_array_unref(kept);
+	g_string_free(text, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -95,5 +131,6 @@
 	g_test_add_func("/entry-settings/faults", test_faults);
 	g_test_add_func("/entry-settings/all", test_all_faults);
 	g_test_add_func("/entry-settings/names", test_names);
+	g_test_add_func("/entry-settings/update", test_update);
 	return g_test_run();
 }
