Take no older state from another VM

Cause: found by reading for what may take a VM back. A VM that asks another one for changes gets that one's revision as the new one. If the other VM is behind (it was restarted, and its report of before is still believed), the asker's revision went back, and the changes since then were applied once more, on top of newer state. A batch that began before the asked revision was told whole, so an object that was deleted and came back within it was taken out for a moment, with its connections. A list of a VM that is behind was taken as it was. A VM that asked for a list where there was none asked again at once, without a pause.

Change: wv_changes_add() refuses an older revision, wv_changes_after() tells the last change of each object only, another VM's older list is not taken (log: answer_behind), and a VM without a list sends the asker to the store.

--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -80,6 +80,8 @@
 	struct follower *follower = data;
 	struct entry *entry = follower->sync->entry;
 
+	if (store_list_is_behind(follower))
+		return;
 	if (follower->kind == STORE_VMS) {
 		take_vm(follower, object);
 		return;
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -192,17 +192,53 @@
 		end_list(follower);
 }
 
+static void
+log_behind(const struct follower *follower, const char *what)
+{
+	log_line(follower->sync->entry->log, LOG_CHANGE, "answer_behind",
+	    "\"kind\":\"%s\",\"what\":\"%s\",\"from\":\"%s\","
+	    "\"revision\":%" G_GUINT64_FORMAT ",\"known\":%" G_GUINT64_FORMAT,
+	    kind_names[follower->kind], what, follower->address,
+	    follower->page->revision, wv_changes_revision(follower->changes));
+}
+
 static void
 take_changes(struct follower *follower, const struct store_page *page)
 {
 	struct store_sync *sync = follower->sync;
 
-	wv_changes_add(follower->changes, entry_now(sync->entry),
-	    page->revision, follower->list,
-	    follower->after_outage || page->after_outage);
+	if (!wv_changes_add(follower->changes, entry_now(sync->entry),
+		page->revision, follower->list,
+		follower->after_outage || page->after_outage)) {
+		log_behind(follower, "changes");
+		return;
+	}
 	follower->after_outage = false;
 }
 
+bool
+store_list_is_behind(const struct follower *follower)
+{
+	return follower->phase == PHASE_LIST && follower->from_peer &&
+	    follower->after == NULL &&
+	    follower->page->revision < wv_changes_revision(follower->changes);
+}
+
+/* Takes what was read; returns false for a list that is of no use. */
+static bool
+take_page(struct follower *follower, const struct store_page *page)
+{
+	if (store_list_is_behind(follower)) {
+		log_behind(follower, "list");
+		return false;
+	}
+	if (follower->phase == PHASE_LIST)
+		take_list_page(follower, page);
+	else
+		take_changes(follower, page);
+	return true;
+}
+
 /* Before objects are taken: an outage that another VM has seen. */
 static void
 prepare(struct follower *follower, const struct message *answer)
@@ -231,18 +267,18 @@
 
 	prepare(follower, answer);
 	follower->list = wv_change_list_create();
+	follower->page = &page;
 	good = entry->dialect->decode(
 	    body, &page, store_take_object, follower, &status);
-	if (!good)
+	if (good)
+		good = take_page(follower, &page);
+	else
 		log_line(entry->log, LOG_CHANGE, "store_answer_unreadable",
 		    "\"kind\":\"%s\",\"why\":\"%s\"",
 		    kind_names[follower->kind], status.message);
-	else if (follower->phase == PHASE_LIST)
-		take_list_page(follower, &page);
-	else
-		take_changes(follower, &page);
 	g_ptr_array_unref(follower->list);
 	follower->list = NULL;
+	follower->page = NULL;
 	g_free(page.last_name);
 	wv_dispatch_fleet_changed(entry->dispatch, entry_now(entry));
 	entry_arm(entry);
@@ -273,6 +309,11 @@
 {
 	if (is_write(follower))
 		return take_write(follower, answer->status);
+	if (answer->status == 410 && follower->phase == PHASE_LIST) {
+		/* A VM without a list itself: the store is asked first. */
+		follower->failures = 0;
+		return false;
+	}
 	if (answer->status == 410) {
 		begin_list(follower);
 		/* The VM that is ahead has the list as well. */
@@ -518,40 +559,6 @@
 	}
 }
 
-void
-store_sync_serve(struct store_sync *sync, struct server_conn *conn,
-    const struct message *message)
-{
-	const struct dialect *dialect = sync->entry->dialect;
-	GPtrArray *texts = g_ptr_array_new();
-	struct wv_changes *changes;
-	bool after_outage = false;
-	enum store_kind kind;
-	uint64_t revision;
-	GString *text;
-	bool known = true;
-	bool list;
-
-	if (!dialect->parse_read(
-		message_target(message), &kind, &list, &revision)) {
-		g_ptr_array_free(texts, TRUE);
-		server_answer_text(conn, 404, "unknown path\n");
-		return;
-	}
-	changes = sync->followers[kind].changes;
-	if (list && sync->followers[kind].phase == PHASE_FOLLOW)
-		wv_changes_all(changes, texts);
-	else
-		known = !list &&
-		    wv_changes_after(changes, revision, texts, &after_outage);
-	text = dialect->encode_changes(
-	    texts, wv_changes_revision(changes), after_outage);
-	server_answer(conn, known ? 200 : 410, NULL,
-	    (struct wv_string){text->str, text->len});
-	g_string_free(text, TRUE);
-	g_ptr_array_free(texts, TRUE);
-}
-
 struct store_sync *
 store_sync_create(struct entry *entry)
 {
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -33,6 +33,7 @@
 	bool after_outage; /**< the next changes follow an outage */
 	char *after; /**< owned: last name of the list's former page */
 	GPtrArray *list; /**< owned: changes of the answer being read */
+	const struct store_page *page; /**< of the answer being read */
 	struct wv_changes *changes; /**< owned: what is known */
 	unsigned failures; /**< calls in a row */
 	wv_msec backoff;
@@ -48,6 +49,12 @@
 	struct follower followers[STORE_KIND_COUNT];
 };
 
+/**
+ * Returns whether the answer being read is another VM's list that is older
+ * than what is known here. The store's own list is always taken.
+ */
+bool store_list_is_behind(const struct follower *follower);
+
 /** Takes an object of an answer; data is the follower. */
 void store_take_object(void *data, const struct store_object *object);
 
--- a/src/changes.c
+++ b/src/changes.c
@@ -134,16 +134,18 @@
 	return bytes;
 }
 
-void
+bool
 wv_changes_add(struct wv_changes *changes, wv_msec now, uint64_t revision,
     GPtrArray *list, bool after_outage)
 {
 	struct batch *batch;
 
+	if (revision < changes->revision)
+		return false;
 	changes->revision = revision;
 	prune(changes, now);
 	if (list->len == 0)
-		return;
+		return true;
 	batch = g_new0(struct batch, 1);
 	batch->to = revision;
 	batch->at = now;
@@ -153,6 +155,7 @@
 	changes->bytes += batch->bytes;
 	changes->newest = revision;
 	g_queue_push_tail(&changes->batches, batch);
+	return true;
 }
 
 uint64_t
@@ -173,24 +176,50 @@
 	changes->newest = changes->revision;
 }
 
+/* Adds those of a batch whose objects did not change later, newest first. */
+static void
+add_last(const struct batch *batch, GHashTable *names, GPtrArray *texts)
+{
+	for (guint i = batch->list->len; i > 0; i--) {
+		struct wv_change *change = batch->list->pdata[i - 1];
+
+		if (g_hash_table_add(names, change->name))
+			g_ptr_array_add(texts, change->text);
+	}
+}
+
+static void
+reverse(GPtrArray *array)
+{
+	for (guint i = 0; i < array->len / 2; i++) {
+		gpointer item = array->pdata[i];
+
+		array->pdata[i] = array->pdata[array->len - 1 - i];
+		array->pdata[array->len - 1 - i] = item;
+	}
+}
+
 bool
 wv_changes_after(const struct wv_changes *changes, uint64_t revision,
     GPtrArray *texts, bool *after_outage)
 {
+	GHashTable *names;
+
 	*after_outage = false;
 	if (revision < changes->oldest)
 		return false;
-	for (GList *item = changes->batches.head; item != NULL;
-	     item = item->next) {
+	names = g_hash_table_new(g_str_hash, g_str_equal);
+	for (GList *item = changes->batches.tail; item != NULL;
+	     item = item->prev) {
 		const struct batch *batch = item->data;
 
 		if (batch->to <= revision)
-			continue;
+			break;
 		*after_outage |= batch->after_outage;
-		for (guint i = 0; i < batch->list->len; i++)
-			g_ptr_array_add(texts,
-			    ((struct wv_change *)batch->list->pdata[i])->text);
+		add_last(batch, names, texts);
 	}
+	g_hash_table_unref(names);
+	reverse(texts);
 	return true;
 }
 
--- a/test/test_changes.c
+++ b/test/test_changes.c
@@ -3,6 +3,8 @@
  * Tests of the record of changes: whoever applies what it is given reaches
  * the same objects, or is told to read the list.
  */
+#include <string.h>
+
 #include "wisteriavane/changes.h"
 
 static void
@@ -102,6 +104,213 @@
 	wv_changes_destroy(changes);
 }
 
+/* A change that is followed by another one of the same object is not told. */
+static void
+test_last_of_each(void)
+{
+	struct wv_changes *changes = wv_changes_create();
+	GPtrArray *list = wv_change_list_create();
+	GPtrArray *texts = g_ptr_array_new();
+	bool outage;
+
+	wv_changes_reset(changes, 3);
+	wv_change_list_add(list, wv_string_borrow("a"), g_strdup("-a@4"), true);
+	wv_change_list_add(
+	    list, wv_string_borrow("a"), g_strdup("+a@5"), false);
+	wv_change_list_add(
+	    list, wv_string_borrow("b"), g_strdup("+b@7"), false);
+	wv_changes_add(changes, 0, 7, list, false);
+	add(changes, 1, 8, "c", false);
+	/* The reader knows a@5 from another VM: it must not see -a@4. */
+	g_assert_true(wv_changes_after(changes, 5, texts, &outage));
+	g_assert_cmpuint(texts->len, ==, 3);
+	g_assert_cmpstr(texts->pdata[0], ==, "+a@5");
+	g_assert_cmpstr(texts->pdata[1], ==, "+b@7");
+	g_ptr_array_free(texts, TRUE);
+	g_ptr_array_unref(list);
+	wv_changes_destroy(changes);
+}
+
+/** Objects, changes and VMs of the exchange that is tried. */
+#define OBJECTS 3
+#define REVISIONS 24
+#define VMS 4
+#define STEPS 120
+#define SEEDS 2000
+
+/* The store: the text of each object after each revision, NULL for none. */
+struct store {
+	const char *texts[REVISIONS + 1][OBJECTS];
+	unsigned revision;
+};
+
+struct vm {
+	struct wv_changes *changes;
+	GHashTable *applied; /* name to text, as the VM uses them */
+	bool listed;
+};
+
+static const char *const names[OBJECTS] = {"a", "b", "c"};
+
+static void
+store_change(struct store *store, GRand *random)
+{
+	int object = g_rand_int_range(random, 0, OBJECTS);
+	const char *former = store->texts[store->revision][object];
+	char *text;
+
+	if (store->revision == REVISIONS)
+		return;
+	text = g_strdup_printf("+%s@%u", names[object], store->revision + 1);
+	memcpy(store->texts[store->revision + 1], store->texts[store->revision],
+	    sizeof(store->texts[0]));
+	store->revision++;
+	store->texts[store->revision][object] =
+	    former != NULL && g_rand_boolean(random) ? NULL
+						     : g_intern_string(text);
+	g_free(text);
+}
+
+/* Takes one change as the follower does: applied first, then recorded. */
+static void
+take(struct vm *vm, GPtrArray *list, const char *name, const char *text,
+    unsigned revision)
+{
+	char *change = text == NULL ? g_strdup_printf("-%s@%u", name, revision)
+				    : g_strdup(text);
+
+	if (change[0] == '-')
+		g_hash_table_remove(vm->applied, name);
+	else
+		g_hash_table_replace(
+		    vm->applied, g_strdup(name), g_strdup(change));
+	wv_change_list_add(
+	    list, wv_string_borrow(name), change, change[0] == '-');
+}
+
+/* A watcher reads what has happened up to some revision. */
+static void
+watch_store(struct vm *vm, const struct store *store, GRand *random)
+{
+	unsigned from = (unsigned)wv_changes_revision(vm->changes);
+	unsigned to = (unsigned)g_rand_int_range(
+	    random, (gint32)from, (gint32)store->revision + 1);
+	GPtrArray *list = wv_change_list_create();
+
+	for (unsigned r = from + 1; r <= to; r++) {
+		for (int i = 0; i < OBJECTS; i++) {
+			if (store->texts[r][i] != store->texts[r - 1][i])
+				take(vm, list, names[i], store->texts[r][i], r);
+		}
+	}
+	g_assert_true(wv_changes_add(vm->changes, 0, to, list, false));
+	g_ptr_array_unref(list);
+}
+
+static void
+list_store(struct vm *vm, const struct store *store)
+{
+	g_hash_table_remove_all(vm->applied);
+	wv_changes_reset(vm->changes, store->revision);
+	for (int i = 0; i < OBJECTS; i++) {
+		const char *text = store->texts[store->revision][i];
+
+		if (text == NULL)
+			continue;
+		wv_changes_put(
+		    vm->changes, wv_string_borrow(names[i]), g_strdup(text));
+		g_hash_table_replace(
+		    vm->applied, g_strdup(names[i]), g_strdup(text));
+	}
+	vm->listed = true;
+}
+
+/* Reads changes from another VM; one that lacks them is left alone. */
+static void
+read_peer(struct vm *vm, const struct vm *peer)
+{
+	GPtrArray *texts = g_ptr_array_new();
+	GPtrArray *list = wv_change_list_create();
+	bool outage;
+
+	if (wv_changes_after(peer->changes, wv_changes_revision(vm->changes),
+		texts, &outage)) {
+		for (guint i = 0; i < texts->len; i++) {
+			const char *text = texts->pdata[i];
+			char *name = g_strndup(text + 1, 1);
+
+			take(vm, list, name, text, 0);
+			g_free(name);
+		}
+		wv_changes_add(vm->changes, 0,
+		    wv_changes_revision(peer->changes), list, false);
+	}
+	g_ptr_array_unref(list);
+	g_ptr_array_free(texts, TRUE);
+}
+
+/* What a VM uses must be what the store had at the revision that it states. */
+static void
+check_vm(const struct vm *vm, const struct store *store, uint64_t before)
+{
+	uint64_t revision = wv_changes_revision(vm->changes);
+
+	g_assert_cmpuint(revision, >=, before);
+	for (int i = 0; i < OBJECTS; i++) {
+		const char *applied =
+		    g_hash_table_lookup(vm->applied, names[i]);
+
+		g_assert_cmpstr(applied, ==, store->texts[revision][i]);
+	}
+}
+
+static void
+step(struct vm *vms, struct store *store, GRand *random)
+{
+	struct vm *vm = &vms[g_rand_int_range(random, 0, VMS)];
+	struct vm *peer = &vms[g_rand_int_range(random, 0, VMS)];
+	uint64_t before = wv_changes_revision(vm->changes);
+	int action = g_rand_int_range(random, 0, 10);
+
+	if (action < 3)
+		store_change(store, random);
+	else if (!vm->listed || action == 3)
+		list_store(vm, store);
+	else if (action < 6)
+		watch_store(vm, store, random);
+	else if (peer != vm && peer->listed)
+		read_peer(vm, peer);
+	if (vm->listed)
+		check_vm(vm, store, before);
+}
+
+/*
+ * VMs that read changes from the store and from each other in any order must
+ * not go back, nor miss a change, nor mix two revisions.
+ */
+static void
+test_exchange(void)
+{
+	for (guint32 seed = 0; seed < SEEDS; seed++) {
+		GRand *random = g_rand_new_with_seed(seed);
+		struct store store = {.revision = 0};
+		struct vm vms[VMS] = {{NULL, NULL, false}};
+
+		for (int i = 0; i < VMS; i++) {
+			vms[i].changes = wv_changes_create();
+			vms[i].applied = g_hash_table_new_full(
+			    g_str_hash, g_str_equal, g_free, g_free);
+		}
+		for (int i = 0; i < STEPS; i++)
+			step(vms, &store, random);
+		for (int i = 0; i < VMS; i++) {
+			wv_changes_destroy(vms[i].changes);
+			g_hash_table_unref(vms[i].applied);
+		}
+		g_rand_free(random);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -110,5 +319,7 @@
 	g_test_add_func("/changes/prune", test_prune);
 	g_test_add_func("/changes/newest", test_newest);
 	g_test_add_func("/changes/all", test_all);
+	g_test_add_func("/changes/last-of-each", test_last_of_each);
+	g_test_add_func("/changes/exchange", test_exchange);
 	return g_test_run();
 }
--- a/wisteriavane/changes.h
+++ b/wisteriavane/changes.h
@@ -48,8 +48,10 @@
  *
  * @param list          of struct wv_change, oldest first; a reference is kept
  * @param after_outage  the store was away before them
+ * @return false if the revision is older than the one known, as at a source
+ *         that is behind; nothing is added then
  */
-void wv_changes_add(struct wv_changes *changes, wv_msec now, uint64_t revision,
+bool wv_changes_add(struct wv_changes *changes, wv_msec now, uint64_t revision,
     GPtrArray *list, bool after_outage);
 
 /** Returns the newest revision known; 0 if none. */
@@ -66,9 +68,11 @@
 void wv_changes_announce(struct wv_changes *changes);
 
 /**
- * Collects the changes after a revision.
+ * Collects the last change of each object after a revision. A batch that
+ * began before the revision is told whole: its last changes are at least as
+ * new as what the reader knows, while earlier ones could take it back.
  *
- * @param texts         gets borrowed texts, oldest first
+ * @param texts         empty; gets borrowed texts, oldest first
  * @param after_outage  set if the store was away before some of them
  * @return false if some of them are no longer known
  */
