Write whole lines of the log, in pieces that a pipe takes at once

Cause: the lines of 200 ms were written in one piece. Ruled out: a partial write of ours (the next piece began with a new line, so write() had taken all).

Change: each write holds whole lines and at most PIPE_BUF bytes.

--- a/entry/log.c
+++ b/entry/log.c
@@ -4,6 +4,7 @@
  */
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <unistd.h>
 
@@ -31,17 +32,35 @@
 	wv_msec details_at;
 };
 
+/*
+ * Returns the bytes of the next write: whole lines, as many as a pipe takes in
+ * one piece, so that no collector gets a part of a line. Longer lines are cut.
+ */
+static size_t
+next_write(const char *text, size_t length)
+{
+	size_t most = MIN(length, PIPE_BUF);
+	size_t n = most;
+
+	while (n > 0 && text[n - 1] != '\n')
+		n--;
+	return n > 0 ? n : most;
+}
+
 static void
 flush(struct log *log)
 {
-	ssize_t n;
-
-	while (log->buffer->len > 0) {
-		n = write(log->fd, log->buffer->str, log->buffer->len);
-		if (n <= 0)
-			return;
-		g_string_erase(log->buffer, 0, n);
+	GString *buffer = log->buffer;
+	size_t written = 0;
+	ssize_t n = 1;
+
+	while (written < buffer->len && n > 0) {
+		n = write(log->fd, buffer->str + written,
+		    next_write(buffer->str + written, buffer->len - written));
+		if (n > 0)
+			written += (size_t)n;
 	}
+	g_string_erase(buffer, 0, (gssize)written);
 }
 
 static void
