Soak: drain a searcher that drains no second time

The logs of all four VMs have the entry of the searcher's next process (started 2, not draining) at 510.70 s and that of the one after (started 3) at 514.28 s, so the second drain began before the first had ended (a drain lasts 4.5 s): the check counted requests to the next process. Ruled out: a VM that had not heard of the drain (all had, by 507.62 s).

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -265,6 +265,7 @@
 		    "draining searcher %u got %u requests after the bound", i,
 		    (unsigned)(arrivals - ending->arrivals));
 	soak->incarnations[i]++;
+	soak->draining[i] = false;
 	write_entry(soak, i, false);
 	ending_destroy(ending);
 }
@@ -276,6 +277,11 @@
 	unsigned i = draw(soak, SOAK_SERVICES) * SOAK_REPLICAS + 1 +
 	    draw(soak, SOAK_REPLICAS - 1);
 
+	/* The end of the first drain would be taken for a fault of the second.
+	 */
+	if (soak->draining[i])
+		return;
+	soak->draining[i] = true;
 	soak_mark(soak, "searcher %u drains", i);
 	write_entry(soak, i, true);
 	end_later(soak, DRAIN_BOUND, i, drained);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -53,6 +53,7 @@
 	struct standin_searchers *searchers;
 	struct proxy *links[SOAK_SERVICES * SOAK_REPLICAS]; /**< to searchers */
 	uint64_t incarnations[SOAK_SERVICES * SOAK_REPLICAS];
+	bool draining[SOAK_SERVICES * SOAK_REPLICAS];
 	uint64_t version; /**< of the routes */
 	wv_msec searchers_disturbed_until;
 	wv_msec store_disturbed_until;
