Hold signals back while an entry server starts and ends

Its log ends with "stopped" of the former process, and the next one has no "started": it was asked to end before it took signals, 0.24 s after the former one's end and 0.2 s of pause. SIGHUP in that time would have ended it as well, and so would a second SIGTERM after "stopped", when the handlers are gone.

Change: the process holds SIGTERM, SIGINT and SIGHUP back until it can take them and again while it ends; a launcher that holds them back before the start, as the soak does now, loses none. signals-at-start (test_entry_process) fails without it. The soak's check is unchanged.

--- a/entry/main.c
+++ b/entry/main.c
@@ -195,6 +195,22 @@
 	on_stop_timer(-1, 0, process);
 }
 
+/*
+ * Holds signals back while the process starts, or takes them from now on. A
+ * launcher may hold them back before, so that none comes too early.
+ */
+static void
+hold_signals(bool hold)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	sigprocmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &signals, NULL);
+}
+
 static struct event *
 watch_signal(struct process *process, int number, event_callback_fn handler)
 {
@@ -312,7 +328,10 @@
 	if (!open_servers(entry))
 		return EXIT_FAILURE;
 	start(&process);
+	hold_signals(false);
 	event_base_dispatch(entry->base);
+	/* A second request to stop must not cut the end short. */
+	hold_signals(true);
 	finish(&process);
 	return EXIT_SUCCESS;
 }
@@ -326,5 +345,6 @@
 	if (options.check != NULL)
 		return check_settings(options.check);
 	signal(SIGPIPE, SIG_IGN);
+	hold_signals(true);
 	return run(options.settings);
 }
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -17,12 +17,29 @@
 /** Pause between the end of a process and its restart, ms. */
 #define RESTART_PAUSE 200.0
 
+/* Forks; in the child, signals wait until the server takes them. */
+static pid_t
+fork_held(void)
+{
+	sigset_t signals, before;
+	pid_t pid;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGHUP);
+	sigprocmask(SIG_BLOCK, &signals, &before);
+	pid = fork();
+	if (pid != 0)
+		sigprocmask(SIG_SETMASK, &before, NULL);
+	return pid;
+}
+
 void
 soak_vm_start(struct soak *soak, struct soak_vm *vm)
 {
 	char *log = g_strdup_printf("%s/%s.log", soak->dir, vm->name);
 
-	vm->pid = fork();
+	vm->pid = fork_held();
 	if (vm->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -188,12 +188,21 @@
 	write_routes(world, 1);
 }
 
-/* A VM ends with the test, also if the test fails. */
+/*
+ * A VM ends with the test, also if the test fails. Signals that are sent while
+ * it starts wait until it takes them.
+ */
 static void
-end_with_parent(void *data)
+prepare_child(void *data)
 {
+	sigset_t signals;
+
 	(void)data;
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGHUP);
+	sigprocmask(SIG_BLOCK, &signals, NULL);
 }
 
 static void
@@ -224,7 +233,7 @@
 	text = standin_vm_settings(&standin);
 	g_assert_true(g_file_set_contents(vm->settings, text, -1, NULL));
 	g_subprocess_launcher_set_child_setup(
-	    launcher, end_with_parent, NULL, NULL);
+	    launcher, prepare_child, NULL, NULL);
 	g_subprocess_launcher_set_stdout_file_path(launcher, vm->log);
 	vm->process = g_subprocess_launcher_spawn(launcher, NULL,
 	    WV_BUILD_DIR "/wisteriavane-entry", "--settings", vm->settings,
@@ -633,6 +642,25 @@
 	return n;
 }
 
+/* Signals that arrive while a VM starts must not end it out of turn. */
+static void
+test_signals_at_start(void)
+{
+	struct world *world = world_create(WORK);
+	struct vm *vm = &world->vms[0];
+
+	open_store(world);
+	start_vm(world);
+	g_subprocess_send_signal(vm->process, SIGHUP);
+	g_subprocess_send_signal(vm->process, SIGTERM);
+	g_assert_true(wait_logged_within(
+	    world, vm, "\"event\":\"stopped\"", RELOAD_LIMIT));
+	g_assert_true(has_logged(vm, "\"cause\":\"signal\""));
+	g_assert_true(g_subprocess_wait(vm->process, NULL, NULL));
+	g_assert_true(g_subprocess_get_successful(vm->process));
+	world_destroy(world);
+}
+
 /* A request in progress is answered although its VM is asked to stop. */
 static void
 test_planned_stop(void)
@@ -713,6 +741,8 @@
 	g_test_add_func(
 	    "/entry-process/malformed-requests", test_malformed_requests);
 	g_test_add_func("/entry-process/store-outages", test_store_outages);
+	g_test_add_func(
+	    "/entry-process/signals-at-start", test_signals_at_start);
 	g_test_add_func("/entry-process/planned-stop", test_planned_stop);
 	g_test_add_func("/entry-process/refused-without-searchers",
 	    test_refused_without_searchers);
