Take over from VMs for which the store has fallen silent in time

The three VMs that followed the store lost it without a word at the same time. The log: first failure 2.1 to 2.5 s after it ("no answer in time"), the take-over 2.8 s later, since two failures in a row were needed and the second call waited as long again; all VMs had version 15 at 9.2 to 9.5 s, 3.3 to 3.6 s after its ack.

A test with a proxy between each VM and the store (silent-watchers) fails without the change. With the first part alone it still failed, and showed a second fault: a VM whose own calls fail, but which still counts as one that follows the store, did not read from others that were ahead.

Change: a call without an answer in time is enough to let others go first, which they are told at once; a call waits 1 s instead of 1.5 s for changes; while its own calls fail, a VM reads from others. Composing requests moved to a source of its own.

--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -9,11 +9,6 @@
 #include "entry/socket.h"
 #include "entry/store_sync_private.h"
 
-/**
- * How long a call waits for changes, ms. That a connection has gone silent is
- * noticed after it, and other VMs take over within the bound for changes.
- */
-#define WATCH_WAIT 1500
 /** Time for the answer of a call, beyond what it waits for, ms. */
 #define CALL_TIMEOUT 1000.0
 /** Time in which changes gather before the next call, ms. */
@@ -21,7 +16,10 @@
 /** First and longest delay after a failure, ms. */
 #define BACKOFF_FIRST 100.0
 #define BACKOFF_MOST 1000.0
-/** Calls that fail in a row before other VMs go first, and for how long, ms. */
+/**
+ * Calls that fail in a row before other VMs go first, and for how long, ms.
+ * One without an answer in time is enough: a second would take as long again.
+ */
 #define FAILURES_LEAST 2
 #define FAILED_FOR 3000.0
 /** Failed lists after which the list of another VM is read. */
@@ -69,15 +67,26 @@
 					      : WV_PEER_SEARCHERS;
 }
 
+/* From now on other VMs go first; they are told at once. */
+static void
+note_failing(struct store_sync *sync)
+{
+	bool known = store_sync_failed(sync);
+
+	sync->failed_at = entry_now(sync->entry);
+	if (!known && sync->entry->reports != NULL)
+		reports_send(sync->entry->reports);
+}
+
 static void
-note_failure(struct follower *follower, const char *why)
+note_failure(struct follower *follower, const char *why, bool silent)
 {
 	struct store_sync *sync = follower->sync;
 	struct entry *entry = sync->entry;
 
 	wv_counter_add(&entry->metrics.store_failures, 1);
-	if (++follower->failures >= FAILURES_LEAST)
-		sync->failed_at = entry_now(entry);
+	if (++follower->failures >= FAILURES_LEAST || silent)
+		note_failing(sync);
 	if (sync->lost)
 		return;
 	sync->lost = true;
@@ -116,11 +125,11 @@
 }
 
 static void
-fail(struct follower *follower, const char *why)
+fail(struct follower *follower, const char *why, bool silent)
 {
 	hang_up(follower);
 	if (!follower->from_peer)
-		note_failure(follower, why);
+		note_failure(follower, why, silent);
 	else
 		log_line(follower->sync->entry->log, LOG_CHANGE,
 		    "peer_call_failed", "\"kind\":\"%s\",\"why\":\"%s\"",
@@ -285,13 +294,6 @@
 	return good;
 }
 
-static bool
-is_write(const struct follower *follower)
-{
-	return follower->phase == PHASE_CREATE ||
-	    follower->phase == PHASE_REPLACE;
-}
-
 static bool
 take_write(struct follower *follower, unsigned status)
 {
@@ -307,7 +309,7 @@
 static bool
 take_answer(struct follower *follower, const struct message *answer)
 {
-	if (is_write(follower))
+	if (store_is_write(follower))
 		return take_write(follower, answer->status);
 	if (answer->status == 410 && follower->phase == PHASE_LIST) {
 		/* A VM without a list itself: the store is asked first. */
@@ -350,7 +352,7 @@
 	good = take_answer(follower, answer);
 	message_destroy(answer);
 	if (!good) {
-		fail(follower, "refused or unreadable");
+		fail(follower, "refused or unreadable", false);
 		return true;
 	}
 	follower->backoff = BACKOFF_FIRST;
@@ -371,72 +373,14 @@
 	if (follower->calling)
 		fail(follower,
 		    end == CLIENT_REFUSED ? "no connection"
-					  : "connection ended");
+					  : "connection ended",
+		    false);
 	else
 		hang_up(follower);
 }
 
 static const struct client_ops ops = {on_answer, on_end};
 
-static char *
-path_of(const struct follower *follower)
-{
-	const struct entry *entry = follower->sync->entry;
-	const struct dialect *dialect = entry->dialect;
-
-	switch (follower->phase) {
-	case PHASE_LIST:
-		return dialect->list_path(follower->kind, follower->after);
-	case PHASE_FOLLOW:
-		return dialect->watch_path(follower->kind,
-		    wv_changes_revision(follower->changes), WATCH_WAIT);
-	case PHASE_REPLACE:
-		return dialect->object_path(
-		    follower->kind, entry->settings->vm);
-	case PHASE_CREATE:
-	case PHASE_DONE:
-		break;
-	}
-	return dialect->create_path(follower->kind);
-}
-
-static const char *
-method_of(const struct follower *follower)
-{
-	if (follower->phase == PHASE_CREATE)
-		return "POST";
-	return follower->phase == PHASE_REPLACE ? "PUT" : "GET";
-}
-
-static GString *
-compose(const struct follower *follower)
-{
-	const struct entry *entry = follower->sync->entry;
-	struct vm_entry vm = {
-	    .name = wv_string_borrow(entry->settings->vm),
-	    .peers = wv_string_borrow(entry->settings->peers),
-	    .capacity = entry->settings->capacity,
-	};
-	GString *request = g_string_new(NULL);
-	char *path = path_of(follower);
-	struct wv_string body;
-
-	g_string_append_printf(request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-	    method_of(follower), path, entry->settings->store);
-	g_free(path);
-	if (!is_write(follower)) {
-		g_string_append(request, "\r\n");
-		return request;
-	}
-	body = entry->dialect->encode_vm(&vm);
-	g_string_append_printf(request,
-	    "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-	    body.length);
-	g_string_append_len(request, body.data, (gssize)body.length);
-	wv_string_clear(&body);
-	return request;
-}
-
 /* The address of another VM that can answer instead of the store, or "". */
 static const char *
 find_peer(const struct follower *follower)
@@ -444,9 +388,10 @@
 	struct entry *entry = follower->sync->entry;
 	bool list = follower->phase == PHASE_LIST;
 
-	if (!is_followed(follower) || is_write(follower) ||
+	if (!is_followed(follower) || store_is_write(follower) ||
 	    (list && follower->failures < LIST_FAILURES) ||
-	    (!list && follower->sync->watching))
+	    (!list && follower->sync->watching &&
+		!store_sync_failed(follower->sync)))
 		return "";
 	return wv_peers_ahead(entry->peers, entry_now(entry),
 	    state_of(follower), wv_changes_revision(follower->changes))
@@ -458,7 +403,7 @@
 {
 	struct entry *entry = follower->sync->entry;
 	bool waits = !follower->from_peer && follower->phase == PHASE_FOLLOW;
-	GString *request = compose(follower);
+	GString *request = store_compose(follower);
 	struct wv_string bytes = {request->str, request->len};
 
 	if (follower->address == NULL ||
@@ -474,7 +419,7 @@
 	if (!follower->from_peer)
 		wv_counter_add(&entry->metrics.store_calls, 1);
 	client_send(follower->client, bytes, false);
-	set_timer(follower, CALL_TIMEOUT + (waits ? WATCH_WAIT : 0));
+	set_timer(follower, CALL_TIMEOUT + (waits ? STORE_WATCH_WAIT : 0));
 	g_string_free(request, TRUE);
 }
 
@@ -499,7 +444,7 @@
 	(void)fd;
 	(void)what;
 	if (follower->calling)
-		fail(follower, "no answer in time");
+		fail(follower, "no answer in time", true);
 	else
 		next_call(follower);
 }
@@ -519,6 +464,21 @@
 	return entry_now(sync->entry) - sync->failed_at < FAILED_FOR;
 }
 
+/*
+ * Whether a follower may turn to another VM now. One whose calls of the store
+ * fail does so in the middle of a call or a pause.
+ */
+static bool
+may_turn(const struct follower *follower)
+{
+	if (follower->phase != PHASE_FOLLOW)
+		return false;
+	if (store_sync_failed(follower->sync))
+		return !follower->calling || !follower->from_peer;
+	return !follower->sync->watching && !follower->calling &&
+	    !event_pending(follower->timer, EV_TIMEOUT, NULL);
+}
+
 void
 store_sync_heard(
     struct store_sync *sync, const uint64_t revisions[WV_PEER_STATES])
@@ -526,13 +486,13 @@
 	for (int i = 0; i < STORE_KIND_COUNT; i++) {
 		struct follower *follower = &sync->followers[i];
 
-		if (follower->phase != PHASE_FOLLOW || follower->calling ||
-		    sync->watching ||
-		    event_pending(follower->timer, EV_TIMEOUT, NULL))
+		if (!is_followed(follower) || !may_turn(follower) ||
+		    revisions[state_of(follower)] <=
+			wv_changes_revision(follower->changes))
 			continue;
-		if (revisions[state_of(follower)] >
-		    wv_changes_revision(follower->changes))
-			next_call(follower);
+		if (follower->calling)
+			hang_up(follower);
+		next_call(follower);
 	}
 }
 
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -9,6 +9,13 @@
 #include "entry/entry.h"
 #include "wisteriavane/changes.h"
 
+/**
+ * How long a call waits for changes, ms. A store that has fallen silent is
+ * noticed after this and CALL_TIMEOUT; then other VMs must take over, and all
+ * must hear of the next change, within 3 s of it.
+ */
+#define STORE_WATCH_WAIT 1000
+
 /** What a follower does next. */
 enum phase {
 	PHASE_CREATE, /**< creates this VM's entry */
@@ -55,6 +62,12 @@
  */
 bool store_list_is_behind(const struct follower *follower);
 
+/** Returns whether the next call creates or replaces this VM's entry. */
+bool store_is_write(const struct follower *follower);
+
+/** Returns the request of the next call, which the caller owns. */
+GString *store_compose(const struct follower *follower);
+
 /** Takes an object of an answer; data is the follower. */
 void store_take_object(void *data, const struct store_object *object);
 
--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -17,12 +17,17 @@
 #include "http/json.h"
 #include "platform/standin/standin.h"
 #include "proto/vm_report.pb-c.h"
+#include "soak/proxy.h"
 #include "standin/common/ports.h"
 
 /** VMs of a test. */
 #define VMS 4
-/** Ports of each VM: callers, addresses, readiness, peers, metrics. */
-#define VM_PORTS 5
+/** Ports of each VM: callers, addresses, readiness, peers, metrics, store. */
+#define VM_PORTS 6
+/** VMs that follow the store themselves. */
+#define WATCHERS 3
+/** Time in which a change must be in force everywhere, ms. */
+#define FORCE_WITHIN 3000
 /** Services, the last of which runs requests once, and their searchers. */
 #define SERVICES 3
 #define REPLICAS 2
@@ -31,6 +36,8 @@
 #define LONG_WORK 500
 /** Time in which VMs must know each other, searchers and routes, ms. */
 #define KNOWN_WITHIN 3000
+/** Time for which lines of the log are collected, ms. */
+#define LOG_DELAY 300
 /** Time after which a change of the settings file counts as missed, ms. */
 #define RELOAD_LIMIT 20000
 /** Time in which an answer must come, ms. */
@@ -44,6 +51,7 @@
 	char *log; /* path */
 	char *callers;
 	char *addresses;
+	struct proxy *store; /* its way to the store */
 };
 
 struct world {
@@ -220,6 +228,7 @@
 	    .metrics = ports[4],
 	    .stop_s = 2};
 	char *name = g_strdup_printf("vm%u", i);
+	char *link = g_strdup_printf("127.0.0.1:%u", ports[5]);
 	char *text;
 
 	vm->settings = g_strdup_printf("%s/vm%u.json", world->dir, i);
@@ -229,7 +238,8 @@
 	standin.name = name;
 	standin.callers = vm->callers;
 	standin.addresses = vm->addresses;
-	standin.store = world->store_address;
+	vm->store = proxy_create(world->base, link, world->store_address);
+	standin.store = proxy_address(vm->store);
 	text = standin_vm_settings(&standin);
 	g_assert_true(g_file_set_contents(vm->settings, text, -1, NULL));
 	g_subprocess_launcher_set_child_setup(
@@ -240,6 +250,7 @@
 	    NULL);
 	g_assert_nonnull(vm->process);
 	g_object_unref(launcher);
+	g_free(link);
 	g_free(name);
 	g_free(text);
 }
@@ -642,6 +653,68 @@
 	return n;
 }
 
+/* Whether a VM follows the store, by the last line that says so. */
+static bool
+is_watching(const struct vm *vm)
+{
+	char *content = NULL;
+	const char *yes, *no;
+
+	g_assert_true(g_file_get_contents(vm->log, &content, NULL, NULL));
+	yes = g_strrstr(content, "\"watching\":true");
+	no = g_strrstr(content, "\"watching\":false");
+	g_free(content);
+	return yes > no;
+}
+
+/* Number of VMs that follow the store. */
+static unsigned
+count_watching(const struct world *world)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < world->n_vms; i++)
+		n += is_watching(&world->vms[i]);
+	return n;
+}
+
+/* Waits until as many VMs as needed follow the store, and no more. */
+static bool
+wait_watching(struct world *world)
+{
+	for (int i = 0; i < RELOAD_LIMIT / LOOK; i++) {
+		if (count_watching(world) == WATCHERS)
+			return true;
+		run_for(world, LOOK);
+	}
+	return false;
+}
+
+/*
+ * When the store falls silent for all VMs that follow it, another one must
+ * take over in time for the next change.
+ */
+static void
+test_silent_watchers(void)
+{
+	struct world *world = world_create(WORK);
+
+	open_store(world);
+	for (unsigned i = 0; i < VMS; i++)
+		start_vm(world);
+	g_assert_true(wait_known(world));
+	g_assert_true(wait_watching(world));
+	for (unsigned i = 0; i < VMS; i++) {
+		if (is_watching(&world->vms[i]))
+			proxy_set_mode(world->vms[i].store, PROXY_SILENT);
+	}
+	write_routes(world, 7);
+	run_for(world, FORCE_WITHIN + LOG_DELAY);
+	for (unsigned i = 0; i < VMS; i++)
+		g_assert_true(has_logged(&world->vms[i], "\"version\":7,"));
+	world_destroy(world);
+}
+
 /* Signals that arrive while a VM starts must not end it out of turn. */
 static void
 test_signals_at_start(void)
@@ -741,6 +814,7 @@
 	g_test_add_func(
 	    "/entry-process/malformed-requests", test_malformed_requests);
 	g_test_add_func("/entry-process/store-outages", test_store_outages);
+	g_test_add_func("/entry-process/silent-watchers", test_silent_watchers);
 	g_test_add_func(
 	    "/entry-process/signals-at-start", test_signals_at_start);
 	g_test_add_func("/entry-process/planned-stop", test_planned_stop);
