--- a/entry/main.c
+++ b/entry/main.c
@@ -333,8 +333,8 @@
 	metrics_init(&entry->metrics);
 	entry->log = log_create(entry->base, &entry->clock, STDOUT_FILENO,
 	    wv_string_borrow(entry->settings->vm));
-	entry->peers = wv_peers_create(
-	    wv_string_borrow(entry->settings->vm), entry->settings->capacity);
+	entry->peers = wv_peers_create(wv_string_borrow(entry->settings->vm),
+	    wv_string_borrow(entry->settings->zone), entry->settings->capacity);
 	if (!open_servers(entry))
 		return EXIT_FAILURE;
 	start_process(&process);
--- a/entry/platform_adapter.h
+++ b/entry/platform_adapter.h
@@ -41,6 +41,7 @@
 struct vm_entry {
 	struct wv_string name;
 	struct wv_string peers; /**< IP:PORT for other VMs */
+	struct wv_string zone; /**< availability zone; empty: unknown */
 	double capacity; /**< processor share, cores */
 };
 
@@ -61,8 +62,10 @@
 	 * Returns the path of the list's page that begins after a name;
 	 * NULL: the first page. This and the other paths are owned by the
 	 * caller.
+	 *
+	 * @param stale  the answer may be seconds old; the call is cheaper
 	 */
-	char *(*list_path)(enum store_kind kind, const char *after);
+	char *(*list_path)(enum store_kind kind, const char *after, bool stale);
 	/**
 	 * Returns the path of a watch: the call waits up to wait_ms for changes
 	 * after a revision.
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -14,8 +14,8 @@
 
 /** Version of the datagrams; reports of another version are rejected. */
 #define PROTOCOL_VERSION 1
-/** Largest datagram, bytes. */
-#define MAX_DATAGRAM_BYTES 1024
+/** Largest datagram, bytes; the list of all hubs takes most of it. */
+#define MAX_DATAGRAM_BYTES 8192
 /** Datagrams read in one iteration of the event loop. */
 #define MAX_READS 64
 
@@ -25,32 +25,90 @@
 	struct event *read;
 	struct event *timer;
 	uint64_t sequence; /* number of the last report */
-	unsigned alive; /* other VMs alive, as last logged */
+	unsigned live_hubs; /* other hubs alive, as last logged */
+	bool is_hub; /* role of this VM, as last logged */
 	bool failing; /* whether sending fails, as last logged */
 };
 
-/* Encodes a report; returns its length, or 0 if it is too large. */
-static size_t
-pack_report(struct reports *reports, uint8_t buffer[MAX_DATAGRAM_BYTES])
+/* Fills in this VM's own report; strings are borrowed. */
+static void
+compose_own_report(struct reports *reports, struct wv_peer_report *report)
 {
 	struct entry *entry = reports->entry;
+	const struct entry_settings *settings = entry->settings;
+
+	*report = (struct wv_peer_report){
+	    .name = wv_string_borrow(settings->vm),
+	    .incarnation = entry->incarnation,
+	    .sequence = ++reports->sequence,
+	    .peer_address = wv_string_borrow(settings->peers),
+	    .caller_address = wv_string_borrow(settings->callers),
+	    .zone = wv_string_borrow(settings->zone),
+	    .serving = entry_is_ready(entry),
+	    .leaving = entry->stopping,
+	    .capacity = settings->capacity,
+	    .store_failed = store_sync_has_failed(entry->store),
+	    .is_leaf = !wv_peers_is_hub(entry->peers),
+	};
+	for (int i = 0; i < WV_PEER_DATA_COUNT; i++)
+		report->revisions[i] =
+		    store_sync_revision(entry->store, (enum wv_peer_data)i);
+	report->view = wv_peers_view(entry->peers, entry_now(entry), report);
+}
+
+static void
+add_hub(void *data, const struct wv_peer_report *hub)
+{
+	VmState *state = g_new(VmState, 1);
+
+	vm_state__init(state);
+	state->name = hub->name.data;
+	state->incarnation = hub->incarnation;
+	state->sequence = hub->sequence;
+	state->peers = hub->peer_address.data;
+	state->callers = hub->caller_address.data;
+	state->zone = hub->zone.data;
+	state->serving = hub->serving;
+	state->leaving = hub->leaving;
+	state->capacity = hub->capacity;
+	state->store_failed = hub->store_failed;
+	g_ptr_array_add(data, state);
+}
+
+/*
+ * Encodes a report to one VM; returns its length, or 0 if it is too large.
+ *
+ * hubs: of this VM's view, VmState
+ */
+static size_t
+pack_report(const struct wv_peer_report *own,
+    const struct wv_peer_target *target, const GPtrArray *hubs,
+    uint8_t buffer[MAX_DATAGRAM_BYTES])
+{
 	VmReport report = VM_REPORT__INIT;
 
 	report.protocol = PROTOCOL_VERSION;
-	report.name = entry->settings->vm;
-	report.incarnation = entry->incarnation;
-	report.sequence = ++reports->sequence;
-	report.peers = entry->settings->peers;
-	report.callers = entry->settings->callers;
-	report.zone = entry->settings->zone;
-	report.serving = entry_is_ready(entry);
-	report.leaving = entry->stopping;
-	report.capacity = entry->settings->capacity;
-	report.store_failed = store_sync_has_failed(entry->store);
-	report.routes_revision =
-	    store_sync_revision(entry->store, WV_PEER_ROUTES);
-	report.searchers_revision =
-	    store_sync_revision(entry->store, WV_PEER_SEARCHERS);
+	report.name = own->name.data;
+	report.incarnation = own->incarnation;
+	report.sequence = own->sequence;
+	report.peers = own->peer_address.data;
+	report.callers = own->caller_address.data;
+	report.zone = own->zone.data;
+	report.serving = own->serving;
+	report.leaving = own->leaving;
+	report.capacity = own->capacity;
+	report.store_failed = own->store_failed;
+	report.routes_revision = own->revisions[WV_PEER_ROUTES];
+	report.searchers_revision = own->revisions[WV_PEER_SEARCHERS];
+	report.leaf = own->is_leaf;
+	report.view = own->view;
+	report.attach = target->attach;
+	report.introduces = target->introduces;
+	report.known_view = target->known_view;
+	if (target->with_hubs) {
+		report.n_hubs = hubs->len;
+		report.hubs = (VmState **)hubs->pdata;
+	}
 	if (vm_report__get_packed_size(&report) > MAX_DATAGRAM_BYTES)
 		return 0;
 	return vm_report__pack(&report, buffer);
@@ -97,32 +155,98 @@
 		    wv_counter_read(&reports->entry->metrics.reports_unsent));
 }
 
-void
-reports_send(struct reports *reports)
+/* Sends a report to one VM and counts it; returns 0 or an errno value. */
+static int
+send_report(struct reports *reports, const struct wv_peer_report *own,
+    const struct wv_peer_target *target, const GPtrArray *hubs)
 {
-	struct entry *entry = reports->entry;
-	GPtrArray *targets = g_ptr_array_new();
+	struct metrics *metrics = &reports->entry->metrics;
 	uint8_t buffer[MAX_DATAGRAM_BYTES];
-	size_t length = pack_report(reports, buffer);
+	size_t length = pack_report(own, target, hubs, buffer);
+	int error = send_to(reports, target->address, buffer, length);
+
+	wv_counter_add(
+	    error == 0 ? &metrics->reports_sent : &metrics->reports_unsent, 1);
+	return error;
+}
+
+static void
+send_round(struct reports *reports, const struct wv_peer_report *own,
+    const GArray *targets)
+{
+	struct entry *entry = reports->entry;
+	GPtrArray *hubs = g_ptr_array_new_with_free_func(g_free);
 	const char *failed = "";
 	int error = 0;
 
-	wv_peers_list_report_addresses(entry->peers, entry_now(entry), targets);
+	wv_peers_foreach_heard_hub(
+	    entry->peers, entry_now(entry), add_hub, hubs);
 	for (guint i = 0; i < targets->len; i++) {
-		int outcome =
-		    send_to(reports, targets->pdata[i], buffer, length);
+		const struct wv_peer_target *target =
+		    &g_array_index(targets, struct wv_peer_target, i);
+		int outcome = send_report(reports, own, target, hubs);
 
-		if (outcome == 0) {
-			wv_counter_add(&entry->metrics.reports_sent, 1);
+		if (outcome == 0)
 			continue;
-		}
-		wv_counter_add(&entry->metrics.reports_unsent, 1);
-		failed = targets->pdata[i];
+		failed = target->address;
 		error = outcome;
 	}
 	if (targets->len > 0)
 		log_send_state(reports, failed, error);
-	g_ptr_array_free(targets, TRUE);
+	g_ptr_array_unref(hubs);
+}
+
+void
+reports_send(struct reports *reports)
+{
+	struct entry *entry = reports->entry;
+	GArray *targets =
+	    g_array_new(FALSE, FALSE, sizeof(struct wv_peer_target));
+	wv_msec now = entry_now(entry);
+	struct wv_peer_report own;
+
+	wv_peers_update(entry->peers, now);
+	compose_own_report(reports, &own);
+	wv_peers_plan_reports(entry->peers, now, own.view, targets);
+	send_round(reports, &own, targets);
+	g_array_unref(targets);
+}
+
+/* Answers the report of a hub that this VM does not report to otherwise. */
+static void
+answer_introduction(struct reports *reports, const struct wv_peer_report *hub)
+{
+	struct wv_peer_target target =
+	    wv_peers_answer_introduction(reports->entry->peers, hub);
+	struct wv_peer_report own;
+
+	compose_own_report(reports, &own);
+	send_report(reports, &own, &target, NULL);
+}
+
+static void
+apply_hubs(struct reports *reports, const VmReport *packed)
+{
+	struct wv_peer_report *hubs =
+	    g_new0(struct wv_peer_report, packed->n_hubs);
+
+	for (size_t i = 0; i < packed->n_hubs; i++) {
+		const VmState *state = packed->hubs[i];
+
+		hubs[i].name = wv_string_borrow(state->name);
+		hubs[i].incarnation = state->incarnation;
+		hubs[i].sequence = state->sequence;
+		hubs[i].peer_address = wv_string_borrow(state->peers);
+		hubs[i].caller_address = wv_string_borrow(state->callers);
+		hubs[i].zone = wv_string_borrow(state->zone);
+		hubs[i].serving = state->serving;
+		hubs[i].leaving = state->leaving;
+		hubs[i].capacity = state->capacity;
+		hubs[i].store_failed = state->store_failed;
+	}
+	wv_peers_apply_hubs(reports->entry->peers, entry_now(reports->entry),
+	    wv_string_borrow(packed->name), packed->view, hubs, packed->n_hubs);
+	g_free(hubs);
 }
 
 static void
@@ -141,23 +265,45 @@
 	    .capacity = packed->capacity,
 	    .store_failed = packed->store_failed,
 	    .revisions = {packed->routes_revision, packed->searchers_revision},
+	    .is_leaf = packed->leaf,
+	    .attach = packed->attach,
+	    .view = packed->view,
+	    .known_view = packed->known_view,
 	};
 
-	wv_peers_apply_report(entry->peers, entry_now(entry), &report);
 	wv_counter_add(&entry->metrics.reports_received, 1);
+	if (!wv_peers_apply_report(entry->peers, entry_now(entry), &report))
+		return;
+	if (packed->n_hubs > 0)
+		apply_hubs(reports, packed);
+	if (packed->introduces)
+		answer_introduction(reports, &report);
 	store_sync_compare_revisions(entry->store, report.revisions);
 }
 
+static bool
+is_valid_address(const char *peers, const char *callers)
+{
+	struct sockaddr_in parsed;
+
+	return socket_parse_address(peers, &parsed) &&
+	    socket_parse_address(callers, &parsed);
+}
+
 /* Returns whether a report is valid: datagrams are not authenticated. */
 static bool
 is_valid_report(const VmReport *report)
 {
-	struct sockaddr_in parsed;
+	for (size_t i = 0; i < report->n_hubs; i++) {
+		const VmState *hub = report->hubs[i];
 
+		if (hub->name[0] == '\0' ||
+		    !is_valid_address(hub->peers, hub->callers))
+			return false;
+	}
 	return report->protocol == PROTOCOL_VERSION &&
 	    report->name[0] != '\0' &&
-	    socket_parse_address(report->peers, &parsed) &&
-	    socket_parse_address(report->callers, &parsed);
+	    is_valid_address(report->peers, report->callers);
 }
 
 static void
@@ -190,13 +336,17 @@
 log_membership(struct reports *reports)
 {
 	struct entry *entry = reports->entry;
-	unsigned n_alive = wv_peers_count_alive(entry->peers, entry_now(entry));
+	unsigned live =
+	    wv_peers_count_live_hubs(entry->peers, entry_now(entry));
+	bool is_hub = wv_peers_is_hub(entry->peers);
 
-	if (n_alive == reports->alive)
+	if (live == reports->live_hubs && is_hub == reports->is_hub)
 		return;
 	log_line(entry->log, LOG_CHANGE, "vms_alive",
-	    "\"others\":%u,\"before\":%u", n_alive, reports->alive);
-	reports->alive = n_alive;
+	    "\"hub\":%s,\"other_hubs\":%u,\"before\":%u",
+	    is_hub ? "true" : "false", live, reports->live_hubs);
+	reports->live_hubs = live;
+	reports->is_hub = is_hub;
 }
 
 static void
@@ -204,15 +354,15 @@
 {
 	struct reports *reports = data;
 	struct entry *entry = reports->entry;
-	struct timeval time =
-	    socket_timeval(wv_peers_report_interval(entry->peers));
+	struct timeval time;
 
 	(void)fd;
 	(void)what;
+	reports_send(reports);
 	log_membership(reports);
 	entry_update_limits(entry);
 	store_sync_update_role(entry->store);
-	reports_send(reports);
+	time = socket_timeval(wv_peers_report_interval(entry->peers));
 	event_add(reports->timer, &time);
 }
 
--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -70,8 +70,13 @@
 	if (wv_string_equal(vm.name, wv_string_borrow(entry->settings->vm)) &&
 	    wv_string_equal(vm.peers, wv_string_borrow(entry->settings->peers)))
 		follower->found_self = true;
-	wv_peers_set_address(
-	    entry->peers, entry_now(entry), vm.name, vm.peers, vm.capacity);
+	wv_peers_set_address(entry->peers, entry_now(entry),
+	    &(struct wv_peer_address){
+		.name = vm.name,
+		.address = vm.peers,
+		.zone = vm.zone,
+		.capacity = vm.capacity,
+	    });
 }
 
 void
--- a/entry/store_request.c
+++ b/entry/store_request.c
@@ -19,7 +19,8 @@
 
 	switch (follower->phase) {
 	case PHASE_LIST:
-		return adapter->list_path(follower->kind, follower->list_after);
+		return adapter->list_path(follower->kind, follower->list_after,
+		    store_reads_stale_list(follower));
 	case PHASE_FOLLOW:
 		return adapter->watch_path(follower->kind,
 		    wv_change_log_revision(follower->changes),
@@ -49,6 +50,7 @@
 	struct vm_entry vm = {
 	    .name = wv_string_borrow(entry->settings->vm),
 	    .peers = wv_string_borrow(entry->settings->peers),
+	    .zone = wv_string_borrow(entry->settings->zone),
 	    .capacity = entry->settings->capacity,
 	};
 	GString *request = g_string_new(NULL);
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -26,6 +26,18 @@
 #define FAILED_PERIOD 3000.0
 /** Failed calls for a list after which it is requested from another VM. */
 #define MAX_LIST_FAILURES 2
+/**
+ * Lists of VMs that may be seconds old, before one that may not; the delay
+ * between them, ms.
+ */
+#define MAX_STALE_LISTS 3
+#define STALE_LIST_DELAY 1000.0
+/** Time after the start for which the list of VMs is awaited, ms. */
+#define MAX_VMS_WAIT 4000.0
+/** Time after the start for which a leaf awaits the lists of a hub, ms. */
+#define MAX_HUB_WAIT 6000.0
+/** Interval between checks whether a hub is known, ms. */
+#define HUB_CHECK_INTERVAL 50.0
 /** Time after the start before this VM may become a watcher, ms. */
 #define WATCH_START_DELAY 600.0
 /** Shortest outage in which registrations may expire, ms. */
@@ -157,6 +169,30 @@
 	follower->phase = PHASE_LIST;
 }
 
+bool
+store_reads_stale_list(const struct follower *follower)
+{
+	return !is_followed(follower) &&
+	    follower->stale_lists < MAX_STALE_LISTS;
+}
+
+/* Handles the end of the list of VMs. */
+static void
+complete_vm_list(struct follower *follower)
+{
+	struct entry *entry = follower->sync->entry;
+
+	if (!follower->found_self && store_reads_stale_list(follower)) {
+		follower->stale_lists++;
+		return;
+	}
+	follower->phase = follower->found_self ? PHASE_DONE : PHASE_REPLACE;
+	entry->vms_listed = true;
+	entry_update_limits(entry);
+	if (entry->reports != NULL)
+		reports_send(entry->reports);
+}
+
 /* Handles the end of a list. */
 static void
 complete_list(struct follower *follower)
@@ -166,10 +202,7 @@
 	g_free(follower->list_after);
 	follower->list_after = NULL;
 	if (!is_followed(follower)) {
-		follower->phase =
-		    follower->found_self ? PHASE_DONE : PHASE_REPLACE;
-		entry->vms_listed = true;
-		entry_update_limits(entry);
+		complete_vm_list(follower);
 		return;
 	}
 	follower->phase = PHASE_FOLLOW;
@@ -286,6 +319,17 @@
 		wv_registry_begin_list(entry->registry);
 }
 
+/* Sends callers to the availability zones of most searchers. */
+static void
+update_caller_zones(struct entry *entry)
+{
+	GPtrArray *zones = g_ptr_array_new();
+
+	wv_registry_list_main_zones(entry->registry, zones);
+	wv_peers_set_caller_zones(entry->peers, zones);
+	g_ptr_array_unref(zones);
+}
+
 /* Applies the body of an answer; returns false if it is invalid or outdated. */
 static bool
 apply_body(struct follower *follower, const struct message *answer)
@@ -312,6 +356,8 @@
 	follower->page = NULL;
 	g_free(page.last_name);
 	wv_dispatch_registry_changed(entry->dispatch, entry_now(entry));
+	if (follower->kind == STORE_SEARCHERS)
+		update_caller_zones(entry);
 	entry_schedule_tick(entry);
 	return valid;
 }
@@ -367,6 +413,8 @@
 	event_del(follower->timer);
 	if (follower->phase == PHASE_DONE)
 		close_client(follower);
+	else if (follower->stale_lists > 0 && follower->list_after == NULL)
+		set_timer(follower, STALE_LIST_DELAY);
 	else if (follower->phase != PHASE_FOLLOW)
 		set_timer(follower, 0);
 	else if (sync->watching)
@@ -413,6 +461,28 @@
 
 static const struct client_ops ops = {on_answer, on_end};
 
+/* Whether a list is to be read from a hub, as by a leaf that has started. */
+static bool
+awaits_hub(const struct follower *follower)
+{
+	const struct entry *entry = follower->sync->entry;
+
+	return is_followed(follower) && follower->phase == PHASE_LIST &&
+	    !follower->listed && !wv_peers_is_hub(entry->peers) &&
+	    entry_now(entry) - entry->started_at < MAX_HUB_WAIT;
+}
+
+/* Whether this VM does not know yet whether it is a hub. */
+static bool
+awaits_vms(const struct follower *follower)
+{
+	const struct entry *entry = follower->sync->entry;
+
+	return is_followed(follower) && !entry->vms_listed &&
+	    !follower->sync->lost &&
+	    entry_now(entry) - entry->started_at < MAX_VMS_WAIT;
+}
+
 /*
  * Returns the address IP:PORT of another VM to call instead of the store, or ""
  * to call the store. Borrowed.
@@ -424,7 +494,8 @@
 	bool list = follower->phase == PHASE_LIST;
 
 	if (!is_followed(follower) || store_is_write(follower) ||
-	    (list && follower->failures < MAX_LIST_FAILURES) ||
+	    (list && !awaits_hub(follower) &&
+		follower->failures < MAX_LIST_FAILURES) ||
 	    (!list && follower->sync->watching &&
 		!store_sync_has_failed(follower->sync)))
 		return "";
@@ -466,6 +537,10 @@
 	struct store_sync *sync = follower->sync;
 	const char *peer = find_peer(follower);
 
+	if (awaits_vms(follower) || (awaits_hub(follower) && peer[0] == '\0')) {
+		set_timer(follower, HUB_CHECK_INTERVAL);
+		return;
+	}
 	follower->from_peer = peer[0] != '\0';
 	if (follower->from_peer)
 		send_call(follower, peer);
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -45,6 +45,7 @@
 	const struct store_page *page; /**< borrowed: of the same answer */
 	struct wv_change_log *changes; /**< owned: objects, recent changes */
 	unsigned failures; /**< failed calls of the store in a row */
+	unsigned stale_lists; /**< lists of VMs read that lack this VM */
 	wv_msec backoff; /**< delay after the next failure, ms */
 };
 
@@ -67,6 +68,14 @@
  */
 bool store_is_outdated_list(const struct follower *follower);
 
+/**
+ * Returns whether the next list may be seconds old. Only the list of VMs may:
+ * it is read again until it has this VM's registration, so of two VMs the one
+ * that was created later lists the other. A list of searchers or routes that is
+ * seconds old could bring back what has been removed.
+ */
+bool store_reads_stale_list(const struct follower *follower);
+
 /** Returns whether the next call creates or replaces this VM's registration. */
 bool store_is_write(const struct follower *follower);
 
--- a/src/dispatch_pick.c
+++ b/src/dispatch_pick.c
@@ -5,7 +5,7 @@
 #include "src/dispatch_private.h"
 
 /** Cost factor of a searcher in the availability zone of this VM. */
-#define SAME_ZONE_FACTOR 0.8
+#define SAME_ZONE_FACTOR 0.4
 /** Random fraction of a cost, so that VMs don't all pick the same searcher. */
 #define COST_JITTER 0.1
 /** Cost added for a searcher with an overdue attempt. */
--- a/src/peers.c
+++ b/src/peers.c
@@ -3,55 +3,35 @@
  * Table of other VMs and the roles derived from it.
  */
 #include <math.h>
+#include <string.h>
 
-#include "src/private.h"
-#include "wisteriavane/peers.h"
+#include "src/peers_private.h"
 
-/** Interval between reports with up to 64 VMs, ms. */
-#define REPORT_INTERVAL 250.0
-/** Number of VMs above which the interval grows in proportion. */
-#define MAX_VMS_AT_MIN_INTERVAL 64
-/** Report intervals of silence after which a VM is not considered alive. */
-#define MAX_MISSED_REPORTS 4
+/** Silence after which a hub does not consider another hub alive, ms. */
+#define HUB_SILENCE 1000.0
+/** The same for a leaf, ms; the hubs it is attached to report changes at once.
+ */
+#define HUB_SILENCE_AT_LEAF 2250.0
+/** Silence after which a leaf is not considered alive, ms. */
+#define LEAF_SILENCE 4000.0
 /**
- * Silence after which a VM is forgotten, ms. Until then it counts in divisors:
- * it may only be unreachable from this VM and still use its fraction of the
- * limits.
+ * Time for which a VM must not answer until it is forgotten, ms. Until then it
+ * counts in divisors: it may only be unreachable from this VM and still use its
+ * fraction of the limits.
  */
 #define PEER_RETENTION 120000.0
-/** A silent VM is sent one report in this number of rounds. */
-#define SILENT_PEER_ROUNDS 4
-/** Minimum capacity of preferred VMs, as a fraction of the greatest one. */
-#define PREFERRED_CAPACITY_RATIO 0.6
 /** With fewer VMs of that capacity than this, all VMs are preferred. */
 #define MIN_PREFERRED 3
+/**
+ * Least part of the preferred VMs that must be in the zones of the searchers
+ * for callers to be sent to those only.
+ */
+#define MIN_NEAR_RATIO 0.4
 /** Fraction of divided limits that the preferred VMs get together. */
 #define PREFERRED_QUOTA 0.7
 /** VMs that watch the store; the others receive changes from them. */
 #define MAX_WATCHERS 3
 
-struct peer {
-	struct wv_string name; /* owned */
-	struct wv_string address; /* owned */
-	struct wv_string caller_address; /* owned */
-	uint64_t incarnation;
-	uint64_t sequence;
-	uint64_t revisions[WV_PEER_DATA_COUNT];
-	double capacity;
-	bool serving;
-	bool leaving;
-	bool store_failed;
-	bool has_report; /* a report was received */
-	wv_msec last_seen; /* time of the last report, or when it was added */
-};
-
-struct wv_peers {
-	struct wv_string own_name; /* owned */
-	double own_capacity;
-	GHashTable *table; /* by name; owned */
-	uint64_t rounds; /* rounds of reports sent */
-};
-
 static void
 peer_destroy(gpointer data)
 {
@@ -60,15 +40,22 @@
 	wv_string_clear(&peer->name);
 	wv_string_clear(&peer->address);
 	wv_string_clear(&peer->caller_address);
+	wv_string_clear(&peer->zone);
 	g_free(peer);
 }
 
 struct wv_peers *
-wv_peers_create(struct wv_string own_name, double capacity)
+wv_peers_create(
+    struct wv_string own_name, struct wv_string zone, double capacity)
 {
 	struct wv_peers *peers = g_new0(struct wv_peers, 1);
 
 	peers->own_name = wv_string_copy(own_name);
+	peers->own_zone = wv_string_copy(zone);
+	peers->own_hash = wv_string_hash(own_name);
+	peers->is_hub = true;
+	peers->hubs = g_ptr_array_new();
+	peers->caller_zones = g_ptr_array_new_with_free_func(g_free);
 	peers->own_capacity = capacity;
 	peers->table = g_hash_table_new_full(
 	    wv_string_key_hash, wv_string_key_equal, NULL, peer_destroy);
@@ -78,29 +65,22 @@
 void
 wv_peers_destroy(struct wv_peers *peers)
 {
+	g_ptr_array_unref(peers->hubs);
+	g_ptr_array_unref(peers->caller_zones);
 	g_hash_table_unref(peers->table);
 	wv_string_clear(&peers->own_name);
+	wv_string_clear(&peers->own_zone);
 	g_free(peers);
 }
 
-wv_msec
-wv_peers_report_interval(const struct wv_peers *peers)
+bool
+peer_is_alive(const struct peer *peer, wv_msec now)
 {
-	unsigned vms = g_hash_table_size(peers->table) + 1;
-
-	return REPORT_INTERVAL * fmax(1, (double)vms / MAX_VMS_AT_MIN_INTERVAL);
+	return peer->has_report && now - peer->last_seen <= peer->max_silence;
 }
 
-static bool
-is_alive(const struct wv_peers *peers, const struct peer *peer, wv_msec now)
-{
-	return peer->has_report &&
-	    now - peer->last_seen <=
-	    MAX_MISSED_REPORTS * wv_peers_report_interval(peers);
-}
-
-static void
-replace_string(struct wv_string *string, struct wv_string value)
+void
+peer_replace_string(struct wv_string *string, struct wv_string value)
 {
 	if (wv_string_equal(*string, value))
 		return;
@@ -108,8 +88,8 @@
 	*string = wv_string_copy(value);
 }
 
-static struct peer *
-find_or_add(struct wv_peers *peers, wv_msec now, struct wv_string name)
+struct peer *
+peers_find_or_add(struct wv_peers *peers, wv_msec now, struct wv_string name)
 {
 	struct peer *peer = g_hash_table_lookup(peers->table, &name);
 
@@ -117,24 +97,35 @@
 		return peer;
 	peer = g_new0(struct peer, 1);
 	peer->name = wv_string_copy(name);
+	peer->hash = wv_string_hash(name);
 	peer->last_seen = now;
+	peer->heard_at = -WV_MSEC_NEVER;
+	peer->asked_at = WV_MSEC_NEVER;
+	peer->attached_at = -WV_MSEC_NEVER;
+	peer->hubs_sent_at = -WV_MSEC_NEVER;
 	g_hash_table_insert(peers->table, &peer->name, peer);
 	return peer;
 }
 
 void
-wv_peers_set_address(struct wv_peers *peers, wv_msec now, struct wv_string name,
-    struct wv_string address, double capacity)
+wv_peers_set_address(
+    struct wv_peers *peers, wv_msec now, const struct wv_peer_address *entry)
 {
 	struct peer *peer;
 
-	if (wv_string_equal(name, peers->own_name))
+	if (wv_string_equal(entry->name, peers->own_name))
 		return;
-	peer = find_or_add(peers, now, name);
-	if (is_alive(peers, peer, now))
+	peer = peers_find_or_add(peers, now, entry->name);
+	if (peer_is_alive(peer, now))
 		return;
-	replace_string(&peer->address, address);
-	peer->capacity = capacity;
+	if (!wv_string_equal(peer->address, entry->address)) {
+		peer->asked_at = WV_MSEC_NEVER;
+		peer->was_hub = false;
+	}
+	peer_replace_string(&peer->address, entry->address);
+	if (entry->zone.length > 0)
+		peer_replace_string(&peer->zone, entry->zone);
+	peer->capacity = entry->capacity;
 }
 
 /* Whether a report is not newer than the last one applied. */
@@ -146,45 +137,200 @@
 	return report->sequence <= peer->sequence;
 }
 
-void
-wv_peers_apply_report(
-    struct wv_peers *peers, wv_msec now, const struct wv_peer_report *report)
+/* Copies what a report says of the VM itself. */
+static void
+copy_state(struct peer *peer, const struct wv_peer_report *report)
 {
-	struct peer *peer;
-
-	if (wv_string_equal(report->name, peers->own_name))
-		return;
-	peer = find_or_add(peers, now, report->name);
-	/* A new process looks older if the clock of its VM was set back. */
-	if (is_stale(peer, report) && is_alive(peers, peer, now))
-		return;
-	replace_string(&peer->address, report->peer_address);
-	replace_string(&peer->caller_address, report->caller_address);
+	peer_replace_string(&peer->address, report->peer_address);
+	peer_replace_string(&peer->caller_address, report->caller_address);
+	peer_replace_string(&peer->zone, report->zone);
 	peer->incarnation = report->incarnation;
 	peer->sequence = report->sequence;
 	peer->capacity = report->capacity;
 	peer->serving = report->serving;
 	peer->leaving = report->leaving;
 	peer->store_failed = report->store_failed;
+}
+
+/* Returns the attachment to a hub, or N_ATTACHMENTS if there is none. */
+static int
+find_attachment_to(const struct wv_peers *peers, const struct peer *hub)
+{
+	int i = 0;
+
+	while (i < N_ATTACHMENTS &&
+	    (peers->is_hub || peers->attachments[i].hub != hub->hash))
+		i++;
+	return i;
+}
+
+static void
+mark_told(struct peer *peer, wv_msec now)
+{
+	peer->has_report = true;
+	peer->was_hub = true;
+	peer->last_seen = now;
+	peer->max_silence = HUB_SILENCE_AT_LEAF;
+	peer->asked_at = WV_MSEC_NEVER;
+}
+
+/* Silence after which the sender of a report is no longer alive, ms. */
+static wv_msec
+max_silence(const struct wv_peers *peers, const struct wv_peer_report *report)
+{
+	if (report->is_leaf)
+		return LEAF_SILENCE;
+	return peers->is_hub ? HUB_SILENCE : HUB_SILENCE_AT_LEAF;
+}
+
+/* A hub has reported an unchanged view: the hubs in it are alive. */
+static void
+confirm_view(struct wv_peers *peers, wv_msec now, int slot)
+{
+	uint64_t view = peers->attachments[slot].view;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct peer *)value)->named_in[slot] == view)
+			mark_told(value, now);
+	}
+}
+
+bool
+wv_peers_apply_report(
+    struct wv_peers *peers, wv_msec now, const struct wv_peer_report *report)
+{
+	struct peer *peer;
+	int slot;
+
+	if (wv_string_equal(report->name, peers->own_name))
+		return false;
+	peer = peers_find_or_add(peers, now, report->name);
+	/* A new process looks older if the clock of its VM was set back. */
+	if (is_stale(peer, report) && peer->heard_at == peer->last_seen &&
+	    peer_is_alive(peer, now))
+		return false;
+	copy_state(peer, report);
 	for (int i = 0; i < WV_PEER_DATA_COUNT; i++)
 		peer->revisions[i] = report->revisions[i];
+	peer->is_leaf = report->is_leaf;
+	peer->was_hub = !report->is_leaf;
+	peer->view = report->view;
 	peer->has_report = true;
 	peer->last_seen = now;
+	peer->heard_at = now;
+	peer->max_silence = max_silence(peers, report);
+	peer->asked_at = WV_MSEC_NEVER;
+	if (report->attach) {
+		peer->attached_at = now;
+		peer->known_view = report->known_view;
+	} else {
+		peer->attached_at = -WV_MSEC_NEVER;
+	}
+	slot = find_attachment_to(peers, peer);
+	if (slot < N_ATTACHMENTS && report->view != 0 &&
+	    peers->attachments[slot].view == report->view)
+		confirm_view(peers, now, slot);
+	return true;
+}
+
+/* Applies what another hub knows of a hub. */
+static void
+apply_hub(struct wv_peers *peers, wv_msec now, int slot, uint64_t view,
+    const struct wv_peer_report *hub)
+{
+	struct peer *peer;
+	bool heard;
+
+	if (wv_string_equal(hub->name, peers->own_name))
+		return;
+	peer = peers_find_or_add(peers, now, hub->name);
+	if (slot < N_ATTACHMENTS)
+		peer->named_in[slot] = view;
+	heard = peer->heard_at == peer->last_seen && peer_is_alive(peer, now);
+	if (heard)
+		return;
+	if (peer->address.length == 0 || !is_stale(peer, hub)) {
+		copy_state(peer, hub);
+		peer->asked_at = WV_MSEC_NEVER;
+	}
+	if (slot < N_ATTACHMENTS) {
+		peer->is_leaf = false;
+		mark_told(peer, now);
+	}
+}
+
+/*
+ * VMs that the previous view named and the new one does not are not alive. If
+ * the hub of another attachment still hears one, its next report says so.
+ */
+static void
+drop_unnamed(struct wv_peers *peers, int slot, uint64_t previous, uint64_t view)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		if (previous == 0 || peer->named_in[slot] != previous ||
+		    previous == view)
+			continue;
+		peer->named_in[slot] = 0;
+		peer->has_report = false;
+	}
+}
+
+void
+wv_peers_apply_hubs(struct wv_peers *peers, wv_msec now,
+    struct wv_string sender, uint64_t view, const struct wv_peer_report *hubs,
+    size_t n_hubs)
+{
+	const struct peer *hub = g_hash_table_lookup(peers->table, &sender);
+	uint64_t previous;
+	int slot;
+
+	if (hub == NULL)
+		return;
+	slot = find_attachment_to(peers, hub);
+	for (size_t i = 0; i < n_hubs; i++)
+		apply_hub(peers, now, slot, view, &hubs[i]);
+	if (slot == N_ATTACHMENTS)
+		return;
+	previous = peers->attachments[slot].view;
+	peers->attachments[slot].view = view;
+	drop_unnamed(peers, slot, previous, view);
+	/* Tells the hub that its view was received. */
+	peers->report_due = true;
+}
+
+static bool
+is_serving(const struct peer *peer, wv_msec now)
+{
+	return peer_is_alive(peer, now) && peer->serving && !peer->leaving;
 }
 
 static bool
-is_serving(const struct wv_peers *peers, const struct peer *peer, wv_msec now)
+is_caller_zone(const struct wv_peers *peers, struct wv_string zone)
 {
-	return is_alive(peers, peer, now) && peer->serving && !peer->leaving;
+	for (guint i = 0; i < peers->caller_zones->len; i++) {
+		if (wv_string_equal(
+			zone, wv_string_borrow(peers->caller_zones->pdata[i])))
+			return true;
+	}
+	return peers->caller_zones->len == 0;
 }
 
 /*
- * Replaces the addresses by those of the serving VMs with at least the
- * given capacity; returns their number.
+ * Replaces the addresses by those of the serving VMs with at least the given
+ * capacity, in all zones or in those of the searchers; returns their number.
  */
 static unsigned
 add_with_capacity(const struct wv_peers *peers, wv_msec now,
-    double min_capacity, struct wv_string own, GPtrArray *addresses)
+    double min_capacity, bool near, struct wv_string own, GPtrArray *addresses)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -194,11 +340,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
 
-		if (is_serving(peers, peer, now) &&
-		    peer->capacity >= min_capacity)
+		if (is_serving(peer, now) && peer->capacity >= min_capacity &&
+		    (!near || is_caller_zone(peers, peer->zone)))
 			g_ptr_array_add(addresses, peer->caller_address.data);
 	}
-	if (own.length > 0 && peers->own_capacity >= min_capacity)
+	if (own.length > 0 && peers->own_capacity >= min_capacity &&
+	    (!near || is_caller_zone(peers, peers->own_zone)))
 		g_ptr_array_add(addresses, own.data);
 	return addresses->len;
 }
@@ -214,7 +361,7 @@
 
 	g_hash_table_iter_init(&iter, peers->table);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (is_serving(peers, value, now))
+		if (is_serving(value, now))
 			greatest = fmax(
 			    greatest, ((const struct peer *)value)->capacity);
 	}
@@ -227,37 +374,46 @@
 {
 	double min_capacity =
 	    greatest_capacity(peers, now, own) * PREFERRED_CAPACITY_RATIO;
+	unsigned n =
+	    add_with_capacity(peers, now, min_capacity, false, own, addresses);
+	unsigned n_near;
+
+	if (n < MIN_PREFERRED) {
+		add_with_capacity(peers, now, 0, false, own, addresses);
+		return;
+	}
+	n_near =
+	    add_with_capacity(peers, now, min_capacity, true, own, addresses);
+	if (n_near < MIN_PREFERRED || n_near < n * MIN_NEAR_RATIO)
+		add_with_capacity(
+		    peers, now, min_capacity, false, own, addresses);
+}
 
-	if (add_with_capacity(peers, now, min_capacity, own, addresses) <
-	    MIN_PREFERRED)
-		add_with_capacity(peers, now, 0, own, addresses);
+void
+wv_peers_set_caller_zones(struct wv_peers *peers, const GPtrArray *zones)
+{
+	g_ptr_array_set_size(peers->caller_zones, 0);
+	for (guint i = 0; i < zones->len; i++)
+		g_ptr_array_add(peers->caller_zones, g_strdup(zones->pdata[i]));
 }
 
 static gboolean
 is_expired(gpointer key, gpointer value, gpointer data)
 {
+	const struct peer *peer = value;
+	wv_msec now = *(const wv_msec *)data;
+
 	(void)key;
-	return *(const wv_msec *)data - ((struct peer *)value)->last_seen >
-	    PEER_RETENTION;
+	return peer->asked_at != WV_MSEC_NEVER &&
+	    now - peer->asked_at > PEER_RETENTION &&
+	    now - peer->last_seen > PEER_RETENTION;
 }
 
 void
-wv_peers_list_report_addresses(
-    struct wv_peers *peers, wv_msec now, GPtrArray *targets)
+wv_peers_update(struct wv_peers *peers, wv_msec now)
 {
-	bool include_silent = peers->rounds++ % SILENT_PEER_ROUNDS == 0;
-	GHashTableIter iter;
-	gpointer value;
-
 	g_hash_table_foreach_remove(peers->table, is_expired, &now);
-	g_hash_table_iter_init(&iter, peers->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer *peer = value;
-
-		if (peer->address.length > 0 &&
-		    (include_silent || is_alive(peers, peer, now)))
-			g_ptr_array_add(targets, peer->address.data);
-	}
+	peers_update_hubs(peers, now);
 }
 
 /* Whether a peer precedes this VM in the order in which watchers are chosen. */
@@ -265,13 +421,24 @@
 precedes_as_watcher(
     const struct wv_peers *peers, const struct peer *peer, bool store_failed)
 {
-	uint64_t own = wv_string_hash(peers->own_name);
-
 	if (peer->store_failed != store_failed)
 		return store_failed;
 	if (peer->capacity != peers->own_capacity)
 		return peer->capacity > peers->own_capacity;
-	return wv_string_hash(peer->name) < own;
+	return peer->hash < peers->own_hash;
+}
+
+/*
+ * Whether a peer can watch the store. A VM that reports to others only counts
+ * unless it is known to be silent: if all counted as silent, each leaf would
+ * watch the store as soon as the hubs can't.
+ */
+static bool
+may_watch(const struct peer *peer, wv_msec now)
+{
+	if (peer_is_alive(peer, now))
+		return is_serving(peer, now);
+	return peer->address.length > 0 && peers_is_presumed_alive(peer, now);
 }
 
 struct wv_peer_role
@@ -289,7 +456,7 @@
 
 		role.vms++;
 		greatest = fmax(greatest, peer->capacity);
-		n_preceding += is_serving(peers, peer, now) &&
+		n_preceding += may_watch(peer, now) &&
 		    precedes_as_watcher(peers, peer, store_failed);
 	}
 	role.is_watcher = n_preceding < MAX_WATCHERS;
@@ -318,7 +485,7 @@
 }
 
 unsigned
-wv_peers_count_alive(const struct wv_peers *peers, wv_msec now)
+wv_peers_count_live_hubs(const struct wv_peers *peers, wv_msec now)
 {
 	GHashTableIter iter;
 	unsigned n = 0;
@@ -326,23 +493,39 @@
 
 	g_hash_table_iter_init(&iter, peers->table);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		n += is_alive(peers, value, now);
+		n += peer_is_alive(value, now) &&
+		    !((const struct peer *)value)->is_leaf;
 	return n;
 }
 
+static bool
+is_near(const struct wv_peers *peers, const struct peer *peer)
+{
+	return wv_string_equal(peers->own_zone, peer->zone);
+}
+
 /*
- * Order in which this VM queries its peers; it differs by VM, so that not all
- * query the same one. The lowest value is first.
+ * Returns a number that orders the peers differently on each VM, so that not
+ * all prefer the same one.
  */
 static uint64_t
-query_order(const struct wv_peers *peers, const struct peer *peer)
+preference(const struct wv_peers *peers, const struct peer *peer)
 {
-	uint64_t hash = wv_string_hash(peer->name) ^
-	    (wv_string_hash(peers->own_name) * UINT64_C(0x9e3779b97f4a7c15));
+	uint64_t hash =
+	    peer->hash ^ (peers->own_hash * UINT64_C(0x9e3779b97f4a7c15));
 
 	return hash * UINT64_C(0xbf58476d1ce4e5b9);
 }
 
+bool
+peers_is_preferred(const struct wv_peers *peers, const struct peer *a,
+    const struct peer *b, bool near_first)
+{
+	if (near_first && is_near(peers, a) != is_near(peers, b))
+		return is_near(peers, a);
+	return preference(peers, a) < preference(peers, b);
+}
+
 struct wv_string
 wv_peers_find_ahead(const struct wv_peers *peers, wv_msec now,
     enum wv_peer_data state, uint64_t revision)
@@ -356,13 +539,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct peer *peer = value;
 
-		bool ahead = revision == 0 ? is_serving(peers, peer, now)
+		bool ahead = revision == 0 ? !peer->is_leaf
 					   : peer->revisions[state] > revision;
 
-		if (!ahead || !is_alive(peers, peer, now))
+		if (!ahead || !peer_is_alive(peer, now))
 			continue;
-		if (best == NULL ||
-		    query_order(peers, peer) < query_order(peers, best))
+		if (best == NULL || peers_is_preferred(peers, peer, best, true))
 			best = peer;
 	}
 	return best == NULL ? none : best->address;
--- a/src/registry.c
+++ b/src/registry.c
@@ -5,6 +5,10 @@
 #include "src/private.h"
 #include "wisteriavane/registry.h"
 
+/** A zone is a main one if this many times its searchers are as many as in the
+ * zone with most. */
+#define MAIN_ZONE_PARTS 2
+
 struct wv_registry {
 	struct wv_registry_ops *ops;
 	struct wv_string zone; /* owned */
@@ -268,3 +272,36 @@
 	while (g_hash_table_iter_next(&iter, NULL, &searcher))
 		visit(data, searcher);
 }
+
+static void
+count_in_zone(void *data, struct wv_searcher *searcher)
+{
+	GHashTable *counts = data;
+	unsigned n =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(counts, searcher->zone.data));
+
+	if (!searcher->draining)
+		g_hash_table_insert(
+		    counts, searcher->zone.data, GUINT_TO_POINTER(n + 1));
+}
+
+void
+wv_registry_list_main_zones(
+    const struct wv_registry *registry, GPtrArray *zones)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned most = 0;
+	GHashTableIter iter;
+	gpointer name, count;
+
+	wv_registry_foreach(registry, count_in_zone, counts);
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, NULL, &count))
+		most = MAX(most, GPOINTER_TO_UINT(count));
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &name, &count)) {
+		if (GPOINTER_TO_UINT(count) * MAIN_ZONE_PARTS >= most)
+			g_ptr_array_add(zones, name);
+	}
+	g_hash_table_unref(counts);
+}
--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -174,7 +174,7 @@
 {
 	const struct platform_adapter *adapter = platform_get_adapter();
 	char *watch = adapter->watch_path(STORE_SEARCHERS, 42, 1500);
-	char *all = adapter->list_path(STORE_ROUTES, NULL);
+	char *all = adapter->list_path(STORE_ROUTES, NULL, false);
 	enum store_kind kind;
 	uint64_t revision;
 	bool list;
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -6,6 +6,12 @@
 
 #include "wisteriavane/peers.h"
 
+static struct wv_peers *
+create_peers(struct wv_string name, double capacity)
+{
+	return wv_peers_create(name, wv_string_borrow("z"), capacity);
+}
+
 static struct wv_peer_report
 make_report(const char *name, uint64_t sequence)
 {
@@ -35,17 +41,19 @@
 static void
 test_alive(void)
 {
-	struct wv_peers *peers = wv_peers_create(wv_string_borrow("me"), 1);
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
 	struct wv_peer_report a = make_report("a", 1);
 	struct wv_peer_report me = make_report("me", 1);
 
-	wv_peers_set_address(peers, 0, wv_string_borrow("a"),
-	    wv_string_borrow("127.0.0.1:1"), 1);
+	wv_peers_set_address(peers, 0,
+	    &(struct wv_peer_address){.name = wv_string_borrow("a"),
+		.address = wv_string_borrow("127.0.0.1:1"),
+		.capacity = 1});
 	g_assert_cmpuint(count_addresses(peers, 0), ==, 0);
 	wv_peers_apply_report(peers, 100, &a);
 	wv_peers_apply_report(peers, 100, &me);
 	g_assert_cmpuint(count_addresses(peers, 200), ==, 1);
-	g_assert_cmpuint(wv_peers_count_alive(peers, 200), ==, 1);
+	g_assert_cmpuint(wv_peers_count_live_hubs(peers, 200), ==, 1);
 	/* A silent VM is not given to callers, but may still use its share. */
 	g_assert_cmpuint(count_addresses(peers, 2000), ==, 0);
 	g_assert_cmpuint(wv_peers_get_role(peers, 2000, false).vms, ==, 2);
@@ -55,7 +63,7 @@
 static void
 test_leaving(void)
 {
-	struct wv_peers *peers = wv_peers_create(wv_string_borrow("me"), 1);
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
 	struct wv_peer_report a = make_report("a", 1);
 
 	wv_peers_apply_report(peers, 0, &a);
@@ -83,7 +91,7 @@
 static void
 test_clock_set_back(void)
 {
-	struct wv_peers *peers = wv_peers_create(wv_string_borrow("me"), 1);
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
 	struct wv_peer_report a = make_report("a", 9);
 
 	wv_peers_apply_report(peers, 0, &a);
@@ -118,7 +126,7 @@
 static void
 test_preferred(void)
 {
-	struct wv_peers *peers = wv_peers_create(wv_string_borrow("me"), 0.12);
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 0.12);
 	struct wv_peer_role role;
 
 	for (unsigned i = 0; i < 20; i++)
@@ -148,7 +156,7 @@
 		struct wv_peers *peers;
 
 		g_snprintf(name, sizeof(name), "vm%u", own);
-		peers = wv_peers_create(wv_string_borrow(name), 1);
+		peers = create_peers(wv_string_borrow(name), 1);
 		for (unsigned i = 0; i < n; i++)
 			add_report(peers, i, 0, 1, i < failed);
 		watchers +=
@@ -174,7 +182,7 @@
 static void
 test_failed_watcher(void)
 {
-	struct wv_peers *peers = wv_peers_create(wv_string_borrow("me"), 1);
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
 
 	for (unsigned i = 0; i < 8; i++)
 		add_report(peers, i, 0, 0.5, false);
@@ -222,7 +230,7 @@
 static void
 test_ahead(void)
 {
-	struct wv_peers *peers = wv_peers_create(wv_string_borrow("me"), 1);
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
 
 	for (unsigned i = 0; i < 5; i++)
 		add_report(peers, i, 0, 1, false);
--- /dev/null
+++ b/test/test_peers_fleet.c
@@ -0,0 +1,274 @@
+/**
+ * @file
+ * Tests of the reports between the VMs of a fleet: how many each sends, and how
+ * soon all of them learn of losses and returns.
+ */
+#include "test/peer_fleet.h"
+
+/** Time in which a started fleet must know its hubs, ms. */
+#define START_TIME 3000
+/** Time in which its hubs have introduced themselves to all VMs, ms. */
+#define SETTLE_TIME 12000
+/**
+ * Time in which no VM may name a lost VM to callers any more, ms: the silence
+ * after which a leaf gives up both of its hubs, and a round of its reports.
+ */
+#define LOSS_TIME 2750
+/** Reports that a hub sends to each other hub per second. */
+#define REPORTS_PER_S 4
+/** Greatest number of hubs. */
+#define MAX_HUBS 32
+/** Reports that a leaf may send per second, whatever the size of the fleet. */
+#define MAX_LEAF_SENT_PER_S 5
+/** VMs that watch the store. */
+#define N_WATCHERS 3
+
+/* Returns the greatest number of reports that one VM sends per second. */
+static double
+most_sent(struct fleet *fleet, size_t first, size_t end)
+{
+	unsigned most = 0;
+
+	for (size_t i = 0; i < fleet->n; i++)
+		fleet->vms[i].sent = 0;
+	fleet_run(fleet, 10000);
+	for (size_t i = first; i < end; i++)
+		most = MAX(most, fleet->vms[i].sent);
+	return most / 10.0;
+}
+
+/*
+ * Returns the reports that a hub may send per second: to the other hubs, one
+ * to each of its leaves, which are attached to two hubs each, a hub to at most
+ * twice its share, and introductions.
+ */
+static double
+max_sent(size_t n, size_t hubs)
+{
+	double leaves = 2 * 2 * (double)(n - hubs) / (double)hubs;
+
+	return REPORTS_PER_S * (double)hubs + leaves + REPORTS_PER_S;
+}
+
+/* Reports from each to each would grow with the square of the fleet. */
+static void
+test_reports_bounded(void)
+{
+	static const size_t sizes[] = {9, 70, 295};
+	static const size_t hubs[] = {9, 8, 18};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		size_t n = sizes[i];
+		struct fleet *fleet = fleet_create(n, hubs[i], 6, 0);
+
+		fleet_run(fleet, SETTLE_TIME);
+		g_assert_cmpfloat(
+		    most_sent(fleet, 0, n), <=, max_sent(n, hubs[i]));
+		if (n >= 70)
+			g_assert_cmpfloat(most_sent(fleet, n - 1, n), <=,
+			    MAX_LEAF_SENT_PER_S);
+		fleet_destroy(fleet);
+	}
+}
+
+/* All VMs as strong as each other: their number must not matter either. */
+static void
+test_reports_bounded_equal(void)
+{
+	struct fleet *fleet = fleet_create(295, 295, 6, 0);
+
+	fleet_run(fleet, SETTLE_TIME);
+	g_assert_cmpfloat(
+	    most_sent(fleet, 0, 295), <=, max_sent(295, MAX_HUBS));
+	fleet_destroy(fleet);
+}
+
+/* In a calm fleet, hubs are listed only while the list changes. */
+static void
+test_lists_only_changes(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+	size_t listed = 0;
+
+	fleet_run(fleet, 2 * START_TIME);
+	for (size_t i = 0; i < fleet->n; i++)
+		fleet->vms[i].hubs_sent = 0;
+	fleet_run(fleet, 5000);
+	for (size_t i = 0; i < fleet->n; i++)
+		listed += fleet->vms[i].hubs_sent;
+	g_assert_cmpuint(listed, ==, 0);
+	fleet_destroy(fleet);
+}
+
+static void
+check_all_name(const struct fleet *fleet, size_t first, size_t end)
+{
+	unsigned running = 0;
+
+	for (size_t i = 0; i < fleet->n; i++)
+		running += fleet->vms[i].peers != NULL;
+	for (size_t i = first; i < end; i++)
+		g_assert_cmpuint(fleet_count_naming(fleet, i), ==, running);
+}
+
+/* Each VM, leaves too, sends callers to the strong VMs and nowhere else. */
+static void
+test_all_name_strong(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0.02);
+
+	fleet_run(fleet, START_TIME);
+	for (int i = 0; i < 20; i++) {
+		fleet_run(fleet, 500);
+		check_all_name(fleet, 0, 18);
+	}
+	for (size_t i = 18; i < 295; i++)
+		g_assert_cmpuint(fleet_count_naming(fleet, i), ==, 0);
+	fleet_destroy(fleet);
+}
+
+/* A lost VM costs each caller that is sent to it a connection timeout. */
+static void
+test_lost_hubs(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0.02);
+
+	fleet_run(fleet, START_TIME);
+	fleet_kill(fleet, 0);
+	fleet_kill(fleet, 7);
+	fleet_run(fleet, LOSS_TIME);
+	g_assert_cmpuint(fleet_count_naming(fleet, 0), ==, 0);
+	g_assert_cmpuint(fleet_count_naming(fleet, 7), ==, 0);
+	check_all_name(fleet, 1, 7);
+	fleet_start(fleet, 7);
+	fleet_run(fleet, LOSS_TIME);
+	check_all_name(fleet, 7, 18);
+	fleet_destroy(fleet);
+}
+
+/*
+ * All strong VMs lost at once, and half of the others with them: the next in
+ * line must take over without the store, and give way when they return.
+ */
+static void
+test_all_hubs_lost(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0.02);
+	unsigned lonely = 0;
+
+	fleet_run(fleet, START_TIME);
+	for (size_t i = 0; i < 295; i++) {
+		if (i < 18 || i % 2 == 0)
+			fleet_kill(fleet, i);
+	}
+	fleet_run(fleet, 8000);
+	for (size_t i = 18; i < 295; i++) {
+		if (fleet->vms[i].peers == NULL)
+			continue;
+		g_assert_false(fleet_names(fleet, i, 0));
+		lonely += wv_peers_count_live_hubs(
+			      fleet->vms[i].peers, fleet->now) < 2;
+	}
+	g_assert_cmpuint(lonely, ==, 0);
+	for (size_t i = 0; i < 18; i++)
+		fleet_start(fleet, i);
+	fleet_run(fleet, START_TIME);
+	check_all_name(fleet, 0, 18);
+	fleet_run(fleet, SETTLE_TIME);
+	g_assert_cmpfloat(most_sent(fleet, 0, 295), <=, max_sent(295, 18));
+	fleet_destroy(fleet);
+}
+
+/* A hub that was cut off for a while is found again without the store. */
+static void
+test_cut_hub_returns(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+
+	fleet_run(fleet, START_TIME);
+	for (size_t i = 0; i < 6; i++)
+		fleet->vms[i].is_cut = true;
+	fleet_run(fleet, 6000);
+	for (size_t i = 6; i < 295; i++)
+		g_assert_false(fleet_names(fleet, i, 2));
+	for (size_t i = 0; i < 6; i++)
+		fleet->vms[i].is_cut = false;
+	fleet_run(fleet, START_TIME);
+	check_all_name(fleet, 0, 18);
+	fleet_destroy(fleet);
+}
+
+/*
+ * A process that knows no other VM, since it started while the store was away,
+ * learns of the fleet from the introductions of the hubs.
+ */
+static void
+test_start_without_list(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+	struct fleet_vm *vm = &fleet->vms[100];
+
+	fleet_run(fleet, START_TIME);
+	fleet_kill(fleet, 100);
+	vm->peers = wv_peers_create(wv_string_borrow(vm->name),
+	    wv_string_borrow(vm->zone), vm->capacity);
+	vm->incarnation++;
+	vm->sequence = 0;
+	fleet_run(fleet, 10000);
+	for (size_t i = 0; i < 18; i++)
+		g_assert_true(fleet_names(fleet, 100, i));
+	fleet_destroy(fleet);
+}
+
+static unsigned
+count_watchers(const struct fleet *fleet)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; i < fleet->n; i++) {
+		const struct fleet_vm *vm = &fleet->vms[i];
+
+		n += vm->peers != NULL &&
+		    wv_peers_get_role(vm->peers, fleet->now, vm->store_failed)
+			.is_watcher;
+	}
+	return n;
+}
+
+/*
+ * If the store turns all hubs away, some leaves must watch it, but not all:
+ * each watcher costs the store's calls.
+ */
+static void
+test_watchers_bounded(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+
+	fleet_run(fleet, START_TIME);
+	g_assert_cmpuint(count_watchers(fleet), ==, N_WATCHERS);
+	for (size_t i = 0; i < 18; i++)
+		fleet->vms[i].store_failed = true;
+	fleet_run(fleet, LOSS_TIME);
+	g_assert_cmpuint(count_watchers(fleet), >=, N_WATCHERS);
+	g_assert_cmpuint(count_watchers(fleet), <=, 2 * N_WATCHERS);
+	fleet_destroy(fleet);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/peers-fleet/reports-bounded", test_reports_bounded);
+	g_test_add_func(
+	    "/peers-fleet/reports-bounded-equal", test_reports_bounded_equal);
+	g_test_add_func(
+	    "/peers-fleet/lists-only-changes", test_lists_only_changes);
+	g_test_add_func("/peers-fleet/all-name-strong", test_all_name_strong);
+	g_test_add_func("/peers-fleet/lost-hubs", test_lost_hubs);
+	g_test_add_func("/peers-fleet/all-hubs-lost", test_all_hubs_lost);
+	g_test_add_func("/peers-fleet/cut-hub-returns", test_cut_hub_returns);
+	g_test_add_func(
+	    "/peers-fleet/start-without-list", test_start_without_list);
+	g_test_add_func("/peers-fleet/watchers-bounded", test_watchers_bounded);
+	return g_test_run();
+}
--- a/wisteriavane/peers.h
+++ b/wisteriavane/peers.h
@@ -2,9 +2,11 @@
  * @file
  * Table of the other VMs, built from the reports that they send.
  *
- * Each VM sends a small report to the others several times a second. The table
- * decides which addresses callers get and how connections are divided among
- * VMs. It may be out of date, and no guarantee depends on it.
+ * The strongest VMs, the hubs, report to each other several times a second. The
+ * others, the leaves, report to two hubs each, which tell them the hubs that
+ * are alive. So the number of a VM's reports does not grow with the fleet. The
+ * table decides which addresses callers get and how connections are divided
+ * among VMs. It may be out of date, and no guarantee depends on it.
  */
 #ifndef WISTERIAVANE_PEERS_H
 #define WISTERIAVANE_PEERS_H
@@ -32,6 +34,28 @@
 	bool store_failed; /**< a recent call of the store failed at that VM */
 	/** Store revision up to which it has all changes; 0 if none. */
 	uint64_t revisions[WV_PEER_DATA_COUNT];
+	bool is_leaf; /**< does not report to all hubs */
+	bool attach; /**< the receiver shall report its live hubs to it */
+	uint64_t view; /**< hash of the hubs that it considers alive */
+	uint64_t known_view; /**< last view whose hubs it has received from the
+				  receiver; 0: none */
+};
+
+/** Address of a VM, for instance from the store. Strings are borrowed. */
+struct wv_peer_address {
+	struct wv_string name;
+	struct wv_string address; /**< IP:PORT for datagrams */
+	struct wv_string zone; /**< empty: unknown */
+	double capacity; /**< share of a processor */
+};
+
+/** A VM that the next report is sent to. */
+struct wv_peer_target {
+	const char *address; /**< IP:PORT, borrowed */
+	bool attach; /**< asks the receiver to report its live hubs */
+	bool introduces; /**< asks the receiver for one report */
+	bool with_hubs; /**< lists the hubs that this VM considers alive */
+	uint64_t known_view; /**< with attach: see struct wv_peer_report */
 };
 
 /** Role of this VM among all known VMs. */
@@ -43,30 +67,88 @@
 			     and other VMs read them from it */
 };
 
-/** Creates an empty table; name and capacity are those of this VM. */
-struct wv_peers *wv_peers_create(struct wv_string own_name, double capacity);
+/** Creates an empty table; name, zone and capacity are those of this VM. */
+struct wv_peers *wv_peers_create(
+    struct wv_string own_name, struct wv_string zone, double capacity);
 
 /** Frees the table. */
 void wv_peers_destroy(struct wv_peers *peers);
 
 /**
- * Sets the datagram address and capacity of a VM that are known from elsewhere,
- * for instance from the store. Ignored while its reports are received.
+ * Sets what is known of a VM from elsewhere. Ignored while it is alive.
  */
-void wv_peers_set_address(struct wv_peers *peers, wv_msec now,
-    struct wv_string name, struct wv_string address, double capacity);
+void wv_peers_set_address(
+    struct wv_peers *peers, wv_msec now, const struct wv_peer_address *entry);
 
 /**
  * Applies a received report. One that is older than the last report of the same
  * VM is ignored while that VM is alive.
+ *
+ * @return whether it was applied
  */
-void wv_peers_apply_report(
+bool wv_peers_apply_report(
     struct wv_peers *peers, wv_msec now, const struct wv_peer_report *report);
 
+/**
+ * Applies the list of hubs in a report that was applied. They count as alive if
+ * this VM is attached to the sender; otherwise only their addresses are kept.
+ *
+ * @param sender  name of the sender
+ * @param view    the sender's view, of which these are the hubs
+ */
+void wv_peers_apply_hubs(struct wv_peers *peers, wv_msec now,
+    struct wv_string sender, uint64_t view, const struct wv_peer_report *hubs,
+    size_t n_hubs);
+
+/**
+ * Recomputes which VMs are hubs, and forgets VMs that have not answered for too
+ * long. To be called before each round of reports.
+ */
+void wv_peers_update(struct wv_peers *peers, wv_msec now);
+
+/** Returns whether this VM is a hub, as of the last update. */
+bool wv_peers_is_hub(const struct wv_peers *peers);
+
+/**
+ * Returns the hash of the hubs that this VM considers alive, itself included if
+ * it is one; never 0.
+ *
+ * @param own  this VM's own report
+ */
+uint64_t wv_peers_view(const struct wv_peers *peers, wv_msec now,
+    const struct wv_peer_report *own);
+
+/** Calls visit for each other hub of the view; reports are borrowed. */
+void wv_peers_foreach_heard_hub(const struct wv_peers *peers, wv_msec now,
+    void (*visit)(void *data, const struct wv_peer_report *report), void *data);
+
+/**
+ * Plans a round of reports.
+ *
+ * @param view     this VM's view
+ * @param targets  receives struct wv_peer_target; emptied first
+ */
+void wv_peers_plan_reports(
+    struct wv_peers *peers, wv_msec now, uint64_t view, GArray *targets);
+
+/**
+ * Returns how the report of a hub that introduces itself is answered: with a
+ * request for its live hubs if no hub that this VM is attached to has the same
+ * view. The address is borrowed from the report.
+ */
+struct wv_peer_target wv_peers_answer_introduction(
+    const struct wv_peers *peers, const struct wv_peer_report *hub);
+
+/**
+ * Sets the availability zones with most searchers (char *, copied). Callers are
+ * sent to VMs in them, unless too few are there. An empty array: all zones.
+ */
+void wv_peers_set_caller_zones(struct wv_peers *peers, const GPtrArray *zones);
+
 /**
  * Stores the addresses for callers of the VMs that are alive and serving: only
- * those with high capacity, or all if fewer than three have it. Strings are
- * borrowed.
+ * those with high capacity in the zones of the searchers, those of all zones if
+ * too few are there, or all if fewer than three have it. Strings are borrowed.
  *
  * @param own        address of this VM, or an empty string if it is not serving
  * @param addresses  receives the strings, as char *; emptied first
@@ -74,13 +156,6 @@
 void wv_peers_list_caller_addresses(const struct wv_peers *peers, wv_msec now,
     struct wv_string own, GPtrArray *addresses);
 
-/**
- * Forgets VMs that have been silent for too long, and adds the addresses that
- * the next report is sent to. Strings are borrowed.
- */
-void wv_peers_list_report_addresses(
-    struct wv_peers *peers, wv_msec now, GPtrArray *targets);
-
 /**
  * Returns the role of this VM. Silent VMs count until they are forgotten, since
  * only the network between them and this VM may have failed.
@@ -100,20 +175,18 @@
  */
 #define WV_PEERS_CONNECTION_RESERVE 2.0
 
-/** Returns the number of other VMs that are alive. */
-unsigned wv_peers_count_alive(const struct wv_peers *peers, wv_msec now);
+/** Returns the number of other hubs that are alive. */
+unsigned wv_peers_count_live_hubs(const struct wv_peers *peers, wv_msec now);
 
 /**
  * Returns the datagram address of a live VM with changes after a revision, or
- * an empty string. For revision 0, any serving VM qualifies. The string is
+ * an empty string. For revision 0, any hub qualifies. The string is
  * borrowed.
  */
 struct wv_string wv_peers_find_ahead(const struct wv_peers *peers, wv_msec now,
     enum wv_peer_data state, uint64_t revision);
 
-/**
- * Returns the interval between reports, ms; it grows with the number of VMs.
- */
+/** Returns the interval between rounds of reports, ms. */
 wv_msec wv_peers_report_interval(const struct wv_peers *peers);
 
 #endif
--- a/wisteriavane/registry.h
+++ b/wisteriavane/registry.h
@@ -140,6 +140,13 @@
 /** Returns the number of searchers, without removed ones. */
 size_t wv_registry_size(const struct wv_registry *registry);
 
+/**
+ * Adds the names (char *, borrowed) of the availability zones with at least
+ * half as many searchers as the zone with most, draining ones not counted.
+ */
+void wv_registry_list_main_zones(
+    const struct wv_registry *registry, GPtrArray *zones);
+
 /** Calls visit for each searcher; it must not add or remove searchers. */
 void wv_registry_foreach(const struct wv_registry *registry,
     void (*visit)(void *data, struct wv_searcher *searcher), void *data);
