Forget a single slow spell of a searcher within half a second

Change: slow answers count once per spell; attempts sent before it was noticed belong to it. After a single spell the slowdown halves in 0.3 s, after two in a row in 2.5 s as before.

--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -238,6 +238,7 @@
 	for (attempt = shard->attempts; attempt != NULL;
 	     attempt = attempt->next_in_shard)
 		wv_health_record_overdue(&attempt->searcher->health, now,
+		    attempt->sent_at,
 		    (now - attempt->sent_at) / latency->median);
 	try_hedge(dispatch, now, shard);
 }
@@ -368,8 +369,8 @@
 	struct route_latency *latency = attempt->latency;
 	wv_msec elapsed = now - attempt->sent_at;
 
-	wv_health_record_end(
-	    &attempt->searcher->health, now, end, elapsed / latency->median);
+	wv_health_record_end(&attempt->searcher->health, now, attempt->sent_at,
+	    end, elapsed / latency->median);
 	if (end == WV_END_ANSWERED)
 		dispatch_latency_add(latency, elapsed);
 }
--- a/src/health.c
+++ b/src/health.c
@@ -16,6 +16,13 @@
  * that a straggler that gets no requests is tried again after a few half-lives.
  */
 #define SLOWDOWN_HALF_LIFE 2500.0
+/**
+ * Half-life of the slowdown after a single slow spell, ms: most are pauses,
+ * after which the searcher is as fast as before.
+ */
+#define SINGLE_SPELL_HALF_LIFE 300.0
+/** Slowdown from which on a sample is part of a slow spell. */
+#define SLOW_SAMPLE 2.5
 #define FAILURE_RATE_HALF_LIFE 1500.0
 /** Bounds of the backoff after rejections, ms; it doubles with each one. */
 #define MIN_BACKOFF 5.0
@@ -39,6 +46,7 @@
 {
 	*health = (struct wv_health){.slowdown = 1,
 	    .slowdown_at = now,
+	    .slow_at = -WV_MSEC_NEVER,
 	    .failure_rate_at = now,
 	    .probe_at = now,
 	    .probe_delay = MIN_PROBE_DELAY,
@@ -48,9 +56,12 @@
 static double
 decayed_slowdown(const struct wv_health *health, wv_msec now)
 {
+	wv_msec half_life = health->slow_spells == 1 ? SINGLE_SPELL_HALF_LIFE
+						     : SLOWDOWN_HALF_LIFE;
+
 	return 1 +
 	    (health->slowdown - 1) *
-	    exp2((health->slowdown_at - now) / SLOWDOWN_HALF_LIFE);
+	    exp2((health->slowdown_at - now) / half_life);
 }
 
 static double
@@ -60,13 +71,41 @@
 	    exp2((health->failure_rate_at - now) / FAILURE_RATE_HALF_LIFE);
 }
 
+/*
+ * Counts slow spells in a row. Attempts that were sent before a spell was
+ * noticed are slow for the same reason, so they are part of it.
+ *
+ * Returns false for a slow sample of a spell that has been counted.
+ */
+static bool
+count_slow_spell(
+    struct wv_health *health, wv_msec now, wv_msec sent_at, double slowdown)
+{
+	if (slowdown < SLOW_SAMPLE) {
+		if (sent_at >= health->slow_at)
+			health->slow_spells = 0;
+		return true;
+	}
+	if (sent_at < health->slow_at)
+		return false;
+	health->slow_spells++;
+	health->slow_at = now;
+	return true;
+}
+
 static void
-add_slowdown(struct wv_health *health, wv_msec now, double slowdown)
+add_slowdown(
+    struct wv_health *health, wv_msec now, wv_msec sent_at, double slowdown)
 {
 	double before = decayed_slowdown(health, now);
-
-	health->slowdown =
-	    before + (fmin(slowdown, MAX_SLOWDOWN) - before) * SLOWDOWN_WEIGHT;
+	double sample = fmin(slowdown, MAX_SLOWDOWN);
+	double after;
+
+	if (count_slow_spell(health, now, sent_at, slowdown))
+		after = before + (sample - before) * SLOWDOWN_WEIGHT;
+	else
+		after = fmax(before, 1 + (sample - 1) * SLOWDOWN_WEIGHT);
+	health->slowdown = after;
 	health->slowdown_at = now;
 }
 
@@ -117,14 +156,14 @@
 }
 
 void
-wv_health_record_end(struct wv_health *health, wv_msec now,
+wv_health_record_end(struct wv_health *health, wv_msec now, wv_msec sent_at,
     enum wv_attempt_end end, double slowdown)
 {
 	switch (end) {
 	case WV_END_ANSWERED:
 		mark_reachable(health);
 		health->rejections = 0;
-		add_slowdown(health, now, slowdown);
+		add_slowdown(health, now, sent_at, slowdown);
 		add_failure_sample(health, now, 0);
 		break;
 	case WV_END_REJECTED:
@@ -147,10 +186,11 @@
 }
 
 void
-wv_health_record_overdue(struct wv_health *health, wv_msec now, double slowdown)
+wv_health_record_overdue(
+    struct wv_health *health, wv_msec now, wv_msec sent_at, double slowdown)
 {
 	if (slowdown > decayed_slowdown(health, now))
-		add_slowdown(health, now, slowdown);
+		add_slowdown(health, now, sent_at, slowdown);
 }
 
 bool
--- a/wisteriavane/health.h
+++ b/wisteriavane/health.h
@@ -25,6 +25,8 @@
 struct wv_health {
 	double slowdown; /**< moving average of the slowdown */
 	wv_msec slowdown_at; /**< when slowdown was last updated */
+	unsigned slow_spells; /**< in a row, without a fast answer between */
+	wv_msec slow_at; /**< when the last one was noticed */
 	double failure_rate; /**< moving average: rejected or failed attempts */
 	wv_msec failure_rate_at; /**< when it was last updated */
 	unsigned failures; /**< consecutive attempts without any answer */
@@ -50,17 +52,18 @@
 /**
  * Records how an attempt ended.
  *
+ * @param sent_at   when it was sent
  * @param slowdown  its latency as a multiple of the typical one; used for
  *                  WV_END_ANSWERED only
  */
 void wv_health_record_end(struct wv_health *health, wv_msec now,
-    enum wv_attempt_end end, double slowdown);
+    wv_msec sent_at, enum wv_attempt_end end, double slowdown);
 
 /**
  * Records the slowdown that an attempt has reached without an answer so far.
  */
 void wv_health_record_overdue(
-    struct wv_health *health, wv_msec now, double slowdown);
+    struct wv_health *health, wv_msec now, wv_msec sent_at, double slowdown);
 
 /**
  * Returns whether an attempt may be sent, as a probe if the searcher is lost.
