--- a/test/test_entry_vms.c
+++ b/test/test_entry_vms.c
@@ -30,6 +30,40 @@
 	fixture_destroy(fixture);
 }
 
+/* Returns whether each VM has logged that it knows n other hubs. */
+static bool
+all_know_hubs(const struct fixture *fixture, unsigned n)
+{
+	char *text = g_strdup_printf("\"other_hubs\":%u", n);
+	bool all = true;
+
+	for (unsigned i = 0; i < fixture->n_vms; i++)
+		all = all && has_logged(&fixture->vms[i], text);
+	g_free(text);
+	return all;
+}
+
+/*
+ * VMs that are missing in a list of VMs that is old, because they started only
+ * then, discover each other all the same.
+ */
+static void
+test_stale_list(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+
+	open_store(fixture);
+	standin_store_freeze_stale_reads(fixture->store);
+	for (unsigned i = 0; i < N_VMS; i++)
+		start_vm(fixture);
+	for (int i = 0; i < EVENT_TIMEOUT / CHECK_INTERVAL &&
+	     !all_know_hubs(fixture, N_VMS - 1);
+	     i++)
+		run_for(fixture, CHECK_INTERVAL);
+	g_assert_true(all_know_hubs(fixture, N_VMS - 1));
+	fixture_destroy(fixture);
+}
+
 /*
  * Sends a report of a VM that does not exist to VM `to`.
  *
@@ -150,6 +184,7 @@
 	g_test_init(&argc, &argv, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-vms/start-at-once", test_start_at_once);
+	g_test_add_func("/entry-vms/stale-list", test_stale_list);
 	g_test_add_func("/entry-vms/unsent-reports", test_unsent_reports);
 	g_test_add_func("/entry-vms/silent-watchers", test_silent_watchers);
 	return g_test_run();
