Let partial answers leave in time for the caller's own round trip

Cause: 8 ms were reserved for the network. Callers of the large fleet have a round trip of 6 to 8 ms and establish a connection for many requests, so answers at the objective reached them up to 10 ms late.

Change: the reserve is the connection's round trip as the kernel measures it (TCP_INFO), twice for the first request of a connection, and 2 ms for the answer. The test /dispatch/scatter/far-caller states it.

--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -138,6 +138,9 @@
     uint64_t deadline)
 {
 	struct call *call = g_new0(struct call, 1);
+	struct wv_caller caller = {.limit = (wv_msec)deadline,
+	    .network_time = server_conn_network_time(conn),
+	    .data = call};
 	struct wv_string id = {"", 0};
 	struct wv_task *task;
 
@@ -151,8 +154,8 @@
 	call->request.id = wv_string_borrow(call->id);
 	server_conn_set_context(conn, call);
 	wv_counter_add(&entry->metrics.requests, 1);
-	task = wv_dispatch_submit(entry->dispatch, entry_now(entry),
-	    entry->routes, route, (wv_msec)deadline, call);
+	task = wv_dispatch_submit(
+	    entry->dispatch, entry_now(entry), entry->routes, route, &caller);
 	/*
 	 * If no task is returned, the request was answered during the call and
 	 * `call` has been destroyed.
--- a/entry/server.c
+++ b/entry/server.c
@@ -63,6 +63,7 @@
 	GString *out; /* the answer */
 	size_t written; /* bytes of it that have been sent */
 	bool close_after; /* close after this answer */
+	bool had_request; /* the request in progress is not the first one */
 	bool timer_is_idle; /* no byte of a request has arrived */
 	void *context; /* user pointer of the request in progress */
 };
@@ -129,6 +130,7 @@
 	const struct wv_caller_limits *limits = &conn->server->limits;
 
 	set_state(conn, CONN_READING);
+	conn->had_request |= conn->request != NULL;
 	conn->context = NULL;
 	message_destroy(conn->request);
 	conn->request = NULL;
@@ -503,6 +505,14 @@
 	}
 }
 
+wv_msec
+server_conn_network_time(const struct server_conn *conn)
+{
+	wv_msec round_trip = socket_round_trip(conn->fd);
+
+	return conn->had_request ? round_trip : 2 * round_trip;
+}
+
 void
 server_conn_set_context(struct server_conn *conn, void *context)
 {
--- a/entry/server.h
+++ b/entry/server.h
@@ -87,6 +87,13 @@
 /** Returns the user pointer of the request in progress, or NULL. */
 void *server_conn_context(const struct server_conn *conn);
 
+/**
+ * Returns the time that the request in progress and its answer spend on the
+ * network, ms, or 0 if it is not known: a round trip, and for the first request
+ * of a connection another one, in which the connection was established.
+ */
+wv_msec server_conn_network_time(const struct server_conn *conn);
+
 /**
  * Answers the request in progress.
  *
--- a/entry/socket.c
+++ b/entry/socket.c
@@ -101,6 +101,17 @@
 	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
+wv_msec
+socket_round_trip(int fd)
+{
+	struct tcp_info info = {0};
+	socklen_t size = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+		return 0;
+	return info.tcpi_rtt / 1000.0;
+}
+
 int
 socket_connect(const char *address)
 {
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -32,6 +32,9 @@
 /** Disables Nagle's algorithm, so that small packets are sent at once. */
 void socket_set_no_delay(int fd);
 
+/** Returns the smoothed round trip time of a connection, ms; 0: not known. */
+wv_msec socket_round_trip(int fd);
+
 /** Converts a duration, ms, to a timeval; a negative one becomes 0. */
 struct timeval socket_timeval(wv_msec time);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -6,8 +6,18 @@
 
 #include "src/dispatch_private.h"
 
-/* Network time reserved for the request and its answer, ms. */
-#define CALLER_ROUND_TRIP_MS 8.0
+/*
+ * Time reserved for the request and its answer on the network if it is not
+ * known, ms.
+ */
+#define DEFAULT_NETWORK_TIME_MS 8.0
+/* Time reserved for merging the parts and writing the answer, ms. */
+#define ANSWER_TIME_MS 2.0
+/*
+ * Longest reserved time, in latency objectives: the answer to a caller that is
+ * far away is late in any case, and must have enough parts all the same.
+ */
+#define MAX_RESERVED_TARGETS 0.5
 /*
  * Time past the latency objective for which all parts are awaited if too few
  * have arrived by then, in latency objectives.
@@ -96,9 +106,19 @@
 	g_free(timer);
 }
 
+/* Returns the part of the caller's time that is not left to searchers, ms. */
+static wv_msec
+reserved_time(const struct wv_route *route, wv_msec network_time)
+{
+	wv_msec time = network_time > 0 ? network_time + ANSWER_TIME_MS
+					: DEFAULT_NETWORK_TIME_MS;
+
+	return fmin(time, route->target * MAX_RESERVED_TARGETS);
+}
+
 static struct wv_task *
 task_create(struct wv_dispatch *dispatch, wv_msec now, struct wv_routes *routes,
-    const struct wv_route *route, wv_msec limit)
+    const struct wv_route *route, const struct wv_caller *caller)
 {
 	bool scatter = route->kind == WV_ROUTE_SCATTER;
 	size_t n = scatter ? route->n_services : 1;
@@ -107,9 +127,11 @@
 
 	task->routes = wv_routes_ref(routes);
 	task->route = route;
+	task->caller = caller->data;
 	task->arrived = now;
+	task->reserved = reserved_time(route, caller->network_time);
 	task->deadline =
-	    now + fmin(limit, route->timeout) - CALLER_ROUND_TRIP_MS;
+	    now + fmin(caller->limit, route->timeout) - task->reserved;
 	task->n_shards = n;
 	task->needed = scatter
 	    ? (size_t)ceil(route->min_ratio * (double)n - RATIO_TOLERANCE)
@@ -158,7 +180,7 @@
 		at = task->arrived +
 		    dispatch_max_defer_time(task->latency, route);
 	else if (task->stage == STAGE_TARGET)
-		at = task->arrived + route->target - CALLER_ROUND_TRIP_MS;
+		at = task->arrived + route->target - task->reserved;
 	else if (task->stage == STAGE_GRACE)
 		at = task->arrived + route->target * (1 + GRACE_TARGETS);
 	dispatch_timer_set(dispatch, task->timer, fmin(at, task->deadline));
@@ -343,12 +365,12 @@
 
 struct wv_task *
 wv_dispatch_submit(struct wv_dispatch *dispatch, wv_msec now,
-    struct wv_routes *routes, const struct wv_route *route, wv_msec limit,
-    void *caller)
+    struct wv_routes *routes, const struct wv_route *route,
+    const struct wv_caller *caller)
 {
-	struct wv_task *task = task_create(dispatch, now, routes, route, limit);
+	struct wv_task *task =
+	    task_create(dispatch, now, routes, route, caller);
 
-	task->caller = caller;
 	add_shards(dispatch, now, task);
 	if (task->deadline <= now) {
 		finish_without_answer(dispatch, task, WV_REASON_DEADLINE);
--- a/test/dispatch_simulation.h
+++ b/test/dispatch_simulation.h
@@ -74,6 +74,7 @@
 	struct wv_dispatch *dispatch;
 	struct wv_routes *routes;
 	wv_msec now;
+	wv_msec network_time; /* of the callers; 0: not known */
 	wv_msec work; /* mean work time of a request, ms */
 	GRand *random;
 	struct simulation_searcher searchers[MAX_SEARCHERS];
@@ -297,9 +298,12 @@
 simulation_submit(struct simulation *simulation, unsigned route, wv_msec limit,
     struct simulation_result *result)
 {
+	struct wv_caller caller = {.limit = limit,
+	    .network_time = simulation->network_time,
+	    .data = result};
+
 	return wv_dispatch_submit(simulation->dispatch, simulation->now,
-	    simulation->routes, &simulation->routes->routes[route], limit,
-	    result);
+	    simulation->routes, &simulation->routes->routes[route], &caller);
 }
 
 static inline void
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -55,6 +55,35 @@
 	simulation_destroy(simulation);
 }
 
+/*
+ * The time on the network counts for the caller too: a partial answer to a
+ * caller whose round trip is long must leave earlier. If it is late in any
+ * case, it still waits for parts.
+ */
+static void
+test_partial_to_far_caller(void)
+{
+	static const wv_msec network_times[] = {20, 500};
+	static const wv_msec latest[] = {80, 50};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(latest); i++) {
+		struct simulation *simulation = simulation_create(10, 3, 3);
+		struct simulation_result result = {0};
+
+		simulation->network_time = network_times[i];
+		for (unsigned k = 0; k < 3; k++)
+			simulation_searcher(simulation, 7, k)->mode =
+			    SEARCHER_UNRESPONSIVE;
+		simulation_submit(simulation, 0, 1500, &result);
+		simulation_run(simulation, 100);
+		g_assert_true(result.done);
+		g_assert_cmpuint(result.parts, ==, 9);
+		g_assert_cmpfloat(result.elapsed, <=, latest[i] + 1);
+		g_assert_cmpfloat(result.elapsed, >=, 50);
+		simulation_destroy(simulation);
+	}
+}
+
 /* With too few parts the request expires at its deadline, not before. */
 static void
 test_below_min_parts(void)
@@ -343,6 +372,8 @@
 	g_test_add_func("/dispatch/scatter/full", test_scatter_full);
 	g_test_add_func("/dispatch/scatter/hedge", test_hedge_on_pause);
 	g_test_add_func("/dispatch/scatter/thin", test_partial_at_target);
+	g_test_add_func(
+	    "/dispatch/scatter/far-caller", test_partial_to_far_caller);
 	g_test_add_func("/dispatch/scatter/least", test_below_min_parts);
 	g_test_add_func("/dispatch/scatter/give-up", test_fails_at_once);
 	g_test_add_func(
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -91,12 +91,25 @@
 	void *link; /**< owned by the embedder */
 };
 
+/** What is known of the caller of a request. */
+struct wv_caller {
+	wv_msec limit; /**< time that it will still wait, ms */
+	/**
+	 * Time that the request and its answer spend on the network, ms; for
+	 * the first request of a connection with the time to establish it. 0:
+	 * not known.
+	 */
+	wv_msec network_time;
+	void *data; /**< stored in the task, owned by the embedder */
+};
+
 /** One request and its shard requests. */
 struct wv_task {
 	struct wv_routes *routes; /**< counted reference */
 	const struct wv_route *route; /**< in routes */
 	wv_msec arrived;
 	wv_msec deadline; /**< latest time for the result */
+	wv_msec reserved; /**< for the network and the answer, ms */
 	size_t n_shards;
 	size_t needed; /**< minimum number of parts in an answer */
 	size_t included; /**< parts received */
@@ -155,12 +168,11 @@
  * Starts a request. If it finishes before the call returns, the result has been
  * delivered by ops->answer() and NULL is returned.
  *
- * @param limit   time that the caller will still wait, ms
- * @param caller  stored in the task, owned by the embedder
+ * @param caller  copied
  */
 struct wv_task *wv_dispatch_submit(struct wv_dispatch *dispatch, wv_msec now,
-    struct wv_routes *routes, const struct wv_route *route, wv_msec limit,
-    void *caller);
+    struct wv_routes *routes, const struct wv_route *route,
+    const struct wv_caller *caller);
 
 /** Applies the outcome of an attempt and frees the attempt. */
 void wv_dispatch_reply(struct wv_dispatch *dispatch, wv_msec now,
