--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -453,11 +453,13 @@
 	    "\"id\":\"%s\",\"route\":\"%s\",\"routes_version\":"
 	    "%" G_GUINT64_FORMAT
 	    ",\"status\":%u,\"reason\":\"%s\",\"elapsed_ms\":%.1f,"
-	    "\"parts\":%zu,\"of\":%zu,\"attempts\":%u,\"extra\":%u",
+	    "\"reserved_ms\":%.1f,\"parts\":%zu,\"of\":%zu,\"attempts\":%u,"
+	    "\"extra\":%u",
 	    log_escape(call->request.id, text, sizeof(text)),
 	    task->route->name.data, task->routes->version, status,
 	    wv_reason_name(result->reason), entry_now(entry) - task->arrived,
-	    task->included, task->n_shards, task->attempts, task->extra);
+	    task->reserved, task->included, task->n_shards, task->attempts,
+	    task->extra);
 }
 
 static void
