--- a/entry/entry.h
+++ b/entry/entry.h
@@ -86,6 +86,8 @@
 void gateway_schedule_tick(struct gateway *gateway);
 /** Returns the server that accepts callers. Borrowed. */
 struct server *gateway_server(struct gateway *gateway);
+/** Refuses all further requests as not run, because this VM stops. */
+void gateway_refuse_new(struct gateway *gateway);
 /** Answers every request still in progress, because this VM stops. */
 void gateway_abort(struct gateway *gateway);
 
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -23,6 +23,7 @@
 	struct entry *entry;
 	struct server *server;
 	struct event *timer;
+	bool refusing; /* this VM stops: further requests are refused */
 };
 
 /* A caller's request, from its submission to its answer. */
@@ -123,13 +124,14 @@
 	g_string_free(fields, TRUE);
 }
 
+/* Refuses a request that is not submitted. */
 static void
-refuse_not_ready(struct entry *entry, struct server_conn *conn,
-    const struct message *message)
+refuse_not_run(struct entry *entry, struct server_conn *conn,
+    const struct message *message, const char *reason, wv_msec retry_after)
 {
-	log_refusal(entry, message, 503, "not_ready");
+	log_refusal(entry, message, 503, reason);
 	wv_counter_add(&entry->metrics.refused_not_run, 1);
-	answer_not_run(conn, RETRY_AFTER_NOT_READY);
+	answer_not_run(conn, retry_after);
 }
 
 static void
@@ -205,7 +207,12 @@
 		return;
 	}
 	if (!entry_is_ready(entry)) {
-		refuse_not_ready(entry, conn, message);
+		refuse_not_run(
+		    entry, conn, message, "not_ready", RETRY_AFTER_NOT_READY);
+		return;
+	}
+	if (entry->gateway->refusing) {
+		refuse_not_run(entry, conn, message, "stopping", 0);
 		return;
 	}
 	route = wv_routes_find(
@@ -560,6 +567,12 @@
 	return gateway->server;
 }
 
+void
+gateway_refuse_new(struct gateway *gateway)
+{
+	gateway->refusing = true;
+}
+
 static void
 abort_call(void *data, struct server_conn *conn)
 {
--- a/entry/main.c
+++ b/entry/main.c
@@ -4,6 +4,7 @@
  * opens the listeners, runs the event loop and stops on SIGTERM or SIGINT.
  */
 #include <errno.h>
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,6 +25,12 @@
 #define ADDRESS_LIFETIME_FACTOR 3.0
 /** Time before the limit of a stop at which open requests are aborted, ms. */
 #define STOP_MARGIN 400.0
+/**
+ * Time before the limit of a stop from which new requests are refused, ms, and
+ * as a fraction of that limit: the earlier ones can still be answered.
+ */
+#define REFUSE_MARGIN 1500.0
+#define REFUSE_FRACTION 0.25
 
 /* Reads settings and prints all faults on standard error. */
 static struct entry_settings *
@@ -156,8 +163,9 @@
 
 /*
  * Ends the process as soon as callers no longer use this VM's address and no
- * request is in progress. Shortly before the limit of a stop, the requests that
- * are still in progress get a final answer.
+ * request is in progress. Towards the limit of a stop, new requests are
+ * refused; shortly before it, the requests that are still in progress get a
+ * final answer.
  */
 static void
 on_stop_timer(evutil_socket_t fd, short what, void *data)
@@ -171,6 +179,8 @@
 
 	(void)fd;
 	(void)what;
+	if (passed >= limit - fmin(REFUSE_MARGIN, limit * REFUSE_FRACTION))
+		gateway_refuse_new(entry->gateway);
 	if (passed >= limit - STOP_MARGIN)
 		gateway_abort(entry->gateway);
 	if (passed >= limit - STOP_MARGIN / 2 ||
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -41,6 +41,8 @@
 #define EVENT_TIMEOUT 20000
 /** Time within which an answer must arrive, ms. */
 #define MAX_ANSWER_TIME 3000
+/** Maximum duration of a planned stop, ms. */
+#define STOP_TIME 2000
 /** Interval between checks of a condition, ms. */
 #define CHECK_INTERVAL 20
 
@@ -238,7 +240,7 @@
 	    .readiness = ports[2],
 	    .peers = ports[3],
 	    .metrics = ports[4],
-	    .stop_s = 2};
+	    .stop_s = STOP_TIME / 1000.0};
 	char *name = g_strdup_printf("vm%u", i);
 	char *link = g_strdup_printf("127.0.0.1:%u", ports[5]);
 	char *text;
--- a/test/test_entry_process.c
+++ b/test/test_entry_process.c
@@ -121,6 +121,38 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * A request that reaches a stopping VM too late to be served is refused as not
+ * run, so that the caller can go to another VM; it must not be cut off when the
+ * process ends.
+ */
+static void
+test_late_request_at_stop(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	char *order = compose_order("order-2");
+	GString *body = g_string_new(NULL);
+
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_all_listed(fixture));
+	edit_settings(
+	    vm, "\"address_lifetime_s\":0.5", "\"address_lifetime_s\":60");
+	g_assert_true(wait_reload(fixture, vm, "\"accepted\":true"));
+	g_subprocess_send_signal(vm->process, SIGTERM);
+	run_for(fixture, STOP_TIME * 0.83);
+	g_assert_cmpuint(
+	    exchange_bytes(fixture, vm->callers, order, body), ==, 503);
+	g_assert_nonnull(strstr(body->str, "not run"));
+	g_assert_cmpuint(count_orders(fixture), ==, 0);
+	g_assert_true(g_subprocess_wait(vm->process, NULL, NULL));
+	g_assert_true(g_subprocess_get_successful(vm->process));
+	g_string_free(body, TRUE);
+	g_free(order);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -131,5 +163,7 @@
 	g_test_add_func(
 	    "/entry-process/signals-at-start", test_signals_at_start);
 	g_test_add_func("/entry-process/planned-stop", test_planned_stop);
+	g_test_add_func(
+	    "/entry-process/late-request-at-stop", test_late_request_at_stop);
 	return g_test_run();
 }
