Bound the memory and time that endless bytes of a peer can take

Cause: found by test: a VM read 61 MB of one answer without end, and used 189 MB when the store sent such answers; the smallest VMs have 160 MB.

--- a/entry/client.c
+++ b/entry/client.c
@@ -15,6 +15,11 @@
 /** Largest header and body of an answer, bytes. */
 #define MAX_HEADER_BYTES 65536
 #define MAX_BODY_BYTES (64u << 20)
+/**
+ * Interim answers, and answers to other requests, that are skipped while a
+ * request waits for its own: a faulty peer may send them without end.
+ */
+#define MAX_SKIPPED_ANSWERS 16
 
 struct client {
 	int fd; /* -1 if the socket could not be opened */
@@ -25,6 +30,9 @@
 	struct message_parser parser;
 	GString *out; /* the request */
 	size_t written; /* bytes of it that have been sent */
+	struct client_memory *memory; /* borrowed; NULL: not limited */
+	size_t counted; /* bytes of it that this client uses */
+	unsigned skipped; /* answers skipped since the request */
 	bool connected;
 	bool waiting; /* for the answer to a request */
 	bool no_reuse; /* no further request may be sent */
@@ -104,13 +112,37 @@
 	return answer->status < 200;
 }
 
-/* Waits for a further answer to the request in progress; returns true. */
+/*
+ * Counts the bytes of the answer being received. Returns false if there is no
+ * memory for them.
+ */
+static bool
+count_memory(struct client *client)
+{
+	struct client_memory *memory = client->memory;
+	const struct message *message = client->parser.message;
+	size_t bytes = message == NULL ? 0 : message->body->len;
+
+	if (memory == NULL)
+		return true;
+	memory->used += bytes - client->counted;
+	client->counted = bytes;
+	return memory->used <= memory->max_total;
+}
+
+/*
+ * Waits for a further answer to the request in progress. Returns whether it
+ * may come; if not, the client may have been destroyed by the callback.
+ */
 static bool
 wait_for_next_answer(struct client *client)
 {
 	client->waiting = true;
 	message_parser_reset(&client->parser, client->no_body);
-	return true;
+	if (++client->skipped <= MAX_SKIPPED_ANSWERS)
+		return true;
+	end_connection(client, CLIENT_MALFORMED);
+	return false;
 }
 
 /*
@@ -124,6 +156,7 @@
 	struct message *answer = message_parser_take(&client->parser);
 	bool no_reuse = client->no_reuse;
 
+	count_memory(client);
 	if (is_interim(answer)) {
 		message_destroy(answer);
 		return wait_for_next_answer(client);
@@ -154,7 +187,7 @@
 		return false;
 	}
 	state = message_parser_feed(&client->parser, data, length, used);
-	if (state == PARSE_FAULT) {
+	if (state == PARSE_FAULT || !count_memory(client)) {
 		end_connection(client, CLIENT_MALFORMED);
 		return false;
 	}
@@ -221,14 +254,22 @@
 	return client;
 }
 
+void
+client_limit_memory(struct client *client, struct client_memory *memory)
+{
+	client->memory = memory;
+	client->parser.body_limit = memory->max_answer;
+}
+
 void
 client_destroy(struct client *client)
 {
+	message_parser_clear(&client->parser);
+	count_memory(client);
 	event_free(client->read);
 	event_free(client->write);
 	if (client->fd >= 0)
 		close(client->fd);
-	message_parser_clear(&client->parser);
 	g_string_free(client->out, TRUE);
 	g_free(client);
 }
@@ -240,6 +281,7 @@
 	g_string_append_len(client->out, request.data, (gssize)request.length);
 	client->written = 0;
 	client->waiting = true;
+	client->skipped = 0;
 	client->no_body = no_body;
 	message_parser_reset(&client->parser, no_body);
 	if (client->connected)
--- a/entry/client.h
+++ b/entry/client.h
@@ -14,6 +14,13 @@
 
 struct client;
 
+/** Memory that a group of clients may use for incomplete answers. */
+struct client_memory {
+	size_t max_answer; /**< largest body of one answer, bytes */
+	size_t max_total; /**< of all bodies being received, bytes */
+	size_t used; /**< by these bodies now, bytes */
+};
+
 /** Why a connection has ended. */
 enum client_end_reason {
 	CLIENT_REFUSED, /**< it could not be established */
@@ -49,6 +56,15 @@
 struct client *client_create(struct event_base *base, const char *address,
     const struct client_ops *ops, void *data);
 
+/**
+ * Limits the memory for answers. An answer that exceeds it ends the connection
+ * with CLIENT_MALFORMED.
+ *
+ * @param memory  shared by a group of clients; borrowed until the client is
+ *                destroyed
+ */
+void client_limit_memory(struct client *client, struct client_memory *memory);
+
 /** Closes the connection and releases the client. */
 void client_destroy(struct client *client);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -10,6 +10,7 @@
 
 #include <event2/event.h>
 
+#include "entry/client.h"
 #include "entry/platform_adapter.h"
 #include "entry/log.h"
 #include "entry/metrics.h"
@@ -33,6 +34,7 @@
 	struct entry_settings *settings;
 	struct log *log;
 	struct metrics metrics;
+	struct client_memory answer_memory; /**< for searchers' answers */
 	struct wv_registry *registry;
 	struct wv_dispatch *dispatch;
 	struct wv_peers *peers;
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -14,6 +14,12 @@
 #define DEFAULT_DEADLINE 60000
 /** Retry-After while this VM does not know routes or searchers yet, ms. */
 #define RETRY_AFTER_NOT_READY 300.0
+/**
+ * Largest body of a searcher's answer, and of all that are being received,
+ * bytes: far above what searchers send, and within the memory of a small VM.
+ */
+#define MAX_ANSWER_BYTES (8u << 20)
+#define MAX_ANSWERS_BYTES (48u << 20)
 /** Size of the buffer for an identifier in a log line, bytes with the NUL. */
 #define LOG_TEXT_SIZE 96
 
@@ -547,6 +553,8 @@
 	gateway->ops.drop = release_message;
 	gateway->ops.failed = attempt_failed;
 	gateway->registry_ops.release = release_searcher;
+	entry->answer_memory.max_answer = MAX_ANSWER_BYTES;
+	entry->answer_memory.max_total = MAX_ANSWERS_BYTES;
 	entry->registry = wv_registry_create(
 	    wv_string_borrow(entry->settings->zone), &gateway->registry_ops);
 	entry->dispatch = wv_dispatch_create(
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -10,6 +10,12 @@
 #include "entry/socket.h"
 #include "entry/store_sync_private.h"
 
+/**
+ * Largest answer, and all that are being received, bytes. The largest are the
+ * lists of all searchers that VMs send each other.
+ */
+#define MAX_ANSWER_BYTES (24u << 20)
+#define MAX_ANSWERS_BYTES (48u << 20)
 /** Timeout of a call, in addition to the time that a watch waits, ms. */
 #define CALL_TIMEOUT 1000.0
 /** Delay between two watch calls, so that changes arrive in batches, ms. */
@@ -519,9 +525,11 @@
 		g_free(follower->address);
 		follower->address = g_strdup(address);
 	}
-	if (follower->client == NULL)
+	if (follower->client == NULL) {
 		follower->client =
 		    client_create(entry->base, address, &ops, follower);
+		client_limit_memory(follower->client, &follower->sync->memory);
+	}
 	follower->calling = true;
 	if (!follower->from_peer)
 		wv_counter_add(&entry->metrics.store_calls, 1);
@@ -638,6 +646,8 @@
 
 	sync->entry = entry;
 	sync->failed_at = -WV_MSEC_NEVER;
+	sync->memory.max_answer = MAX_ANSWER_BYTES;
+	sync->memory.max_total = MAX_ANSWERS_BYTES;
 	for (int i = 0; i < STORE_KIND_COUNT; i++) {
 		struct follower *follower = &sync->followers[i];
 
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -59,6 +59,7 @@
 	wv_msec failed_at; /**< last time that calls of the store failed
 				MIN_FAILURES times in a row, or one timed
 				out */
+	struct client_memory memory; /**< for answers */
 	struct follower followers[STORE_KIND_COUNT];
 };
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -218,6 +218,7 @@
 	conn->searcher = searcher;
 	conn->client =
 	    client_create(entry->base, searcher->address.data, &ops, conn);
+	client_limit_memory(conn->client, &entry->answer_memory);
 	conn->timer = event_new(entry->base, -1, 0, on_connect_timeout, conn);
 	event_add(conn->timer, &time);
 	wv_counter_add(&entry->metrics.connections_opened, 1);
