Remove unused names and a second check of names

wv_service_probe_at, PEER_PROTOCOL_VERSION, three fields that nobody reads; src/settings.c uses the check of src/check.c. No change of behaviour.

--- a/bench/driver/vm_gossip.c
+++ b/bench/driver/vm_gossip.c
@@ -30,7 +30,6 @@
 	uint64_t sequence;
 	bool claims; /* the sender claims the lane */
 	bool releases; /* the sender has released the lane */
-	bool granted;
 	bool loaded; /* the sender has loaded its contracts */
 	uint64_t digest; /* of the sender's contract table */
 	uint64_t after; /* has the contracts changed after this revision */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -18,9 +18,6 @@
 struct links;
 struct control;
 
-/** Version of the protocol between VMs. */
-#define PEER_PROTOCOL_VERSION 1
-
 /** The daemon, one process per VM. Fields without a note never change. */
 struct daemon {
 	struct wv_clock clock;
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -201,8 +201,6 @@
 	    "the link of searcher %u is in mode %d for %.0f ms", i, mode,
 	    duration);
 	proxy_set_mode(soak->links[i], mode);
-	soak->searchers_affected_until =
-	    soak_now(soak) + duration + RECOVERY_TIME;
 	schedule_action(soak, duration, i, restore_link);
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -58,7 +58,6 @@
 	uint64_t incarnations[SOAK_SERVICES * SOAK_REPLICAS];
 	bool draining[SOAK_SERVICES * SOAK_REPLICAS];
 	uint64_t routes_version;
-	wv_msec searchers_affected_until;
 	wv_msec store_affected_until;
 	wv_msec faults_end_at; /**< no fault begins after it */
 	wv_msec started_at;
--- a/src/service.c
+++ b/src/service.c
@@ -204,23 +204,6 @@
 	return n;
 }
 
-wv_msec
-wv_service_probe_at(const struct service *service)
-{
-	wv_msec at = WV_MSEC_NEVER;
-
-	if (service->n_lost == 0)
-		return at;
-	for (size_t i = 0; i < service->n_members; i++) {
-		wv_msec probe =
-		    wv_replica_probe_at(service->members[i]->replica);
-
-		if (probe < at)
-			at = probe;
-	}
-	return at;
-}
-
 static bool
 is_tried(const struct criteria *criteria, const struct searcher *searcher)
 {
--- a/src/service.h
+++ b/src/service.h
@@ -138,9 +138,6 @@
 struct searcher *wv_service_choose(const struct service *service, wv_msec now,
     const struct criteria *criteria, uint64_t *random);
 
-/** Returns when the first lost member may be probed, or WV_MSEC_NEVER. */
-wv_msec wv_service_probe_at(const struct service *service);
-
 /**
  * Steps a 64-bit xorshift generator.
  *
--- a/src/settings.c
+++ b/src/settings.c
@@ -7,11 +7,10 @@
 
 #include <json-glib/json-glib.h>
 
+#include "src/check.h"
 #include "src/private.h"
 #include "wisteriavane/json_text.h"
 
-/* Maximum length of the name of a VM, zone or deployment, in bytes. */
-#define MAX_NAME_LENGTH 64
 /* Limits of the operators' token, in bytes. A shorter one is easily guessed. */
 #define MIN_TOKEN_LENGTH 8
 #define MAX_TOKEN_LENGTH 256
@@ -92,20 +91,6 @@
 	    field->kind == FIELD_TOKEN;
 }
 
-static bool
-is_name(const char *text)
-{
-	size_t length = strlen(text);
-
-	if (length == 0 || length > MAX_NAME_LENGTH)
-		return false;
-	for (size_t i = 0; i < length; i++) {
-		if (!g_ascii_isalnum(text[i]) && strchr("._-", text[i]) == NULL)
-			return false;
-	}
-	return true;
-}
-
 static bool
 is_address(const char *text)
 {
@@ -149,7 +134,7 @@
 {
 	switch (field->kind) {
 	case FIELD_NAME:
-		return is_name(text)
+		return wv_is_valid_name(wv_string_borrow(text))
 		    ? NULL
 		    : "must have 1 to 64 letters, digits, '.', '_' or '-'";
 	case FIELD_ADDRESS:
--- a/test/job_simulation.h
+++ b/test/job_simulation.h
@@ -117,7 +117,6 @@
 	bool has_late_write;
 	bool accepted; /* a claim of the key was confirmed */
 	bool expired;
-	bool resolved; /* not set */
 	wv_msec now;
 	/* The key in the stored bucket, as of record_version of the bucket. */
 	uint64_t record_version;
