--- a/entry/main.c
+++ b/entry/main.c
@@ -24,7 +24,7 @@
  */
 #define ADDRESS_LIFETIME_FACTOR 3.0
 /** Time before the limit of a stop at which open requests are aborted, ms. */
-#define STOP_MARGIN 400.0
+#define STOP_MARGIN 800.0
 /**
  * Time before the limit of a stop from which new requests are refused, ms, and
  * as a fraction of that limit: the earlier ones can still be answered.
