--- a/entry/main.c
+++ b/entry/main.c
@@ -23,8 +23,12 @@
  * keep addresses longer than they are told.
  */
 #define ADDRESS_LIFETIME_FACTOR 3.0
-/** Time before the limit of a stop at which open requests are aborted, ms. */
+/**
+ * Time before the limit of a stop at which open requests are aborted, ms, and
+ * as a fraction of that limit. The process ends halfway between.
+ */
 #define STOP_MARGIN 800.0
+#define STOP_FRACTION 0.15
 /**
  * Time before the limit of a stop from which new requests are refused, ms, and
  * as a fraction of that limit: the earlier ones can still be answered.
@@ -176,14 +180,15 @@
 	struct server *server = gateway_server(entry->gateway);
 	wv_msec passed = entry_now(entry) - entry->stopping_since;
 	wv_msec limit = entry->settings->stop_s * 1000;
+	wv_msec margin = fmin(STOP_MARGIN, limit * STOP_FRACTION);
 
 	(void)fd;
 	(void)what;
 	if (passed >= limit - fmin(REFUSE_MARGIN, limit * REFUSE_FRACTION))
 		gateway_refuse_new(entry->gateway);
-	if (passed >= limit - STOP_MARGIN)
+	if (passed >= limit - margin)
 		gateway_abort(entry->gateway);
-	if (passed >= limit - STOP_MARGIN / 2 ||
+	if (passed >= limit - margin / 2 ||
 	    (server_is_flushed(server) &&
 		passed >= ADDRESS_LIFETIME_FACTOR * 1000 *
 			entry->settings->address_lifetime_s)) {
