Let changes of the store cross into a zone once

Change: a VM with a stronger hub in its zone waits up to 0.7 s until that hub has the changes; hubs report new revisions to their leaves in the next round. Also tests of the callers' zones, which had none.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -107,10 +107,11 @@
 bool store_sync_has_failed(const struct store_sync *sync);
 /**
  * Compares the revisions that a peer reports with the own ones and reads the
- * missing changes from a peer.
+ * missing changes from a peer: at once from one in the own zone, otherwise
+ * after a moment in which a hub of the zone may get them.
  */
 void store_sync_compare_revisions(
-    struct store_sync *sync, const uint64_t revisions[WV_PEER_DATA_COUNT]);
+    struct store_sync *sync, const struct wv_peer_report *report);
 /**
  * Starts or stops watching the store directly, depending on whether the
  * VMs known now make this one a watcher.
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -207,7 +207,7 @@
 
 	wv_peers_update(entry->peers, now);
 	compose_own_report(reports, &own);
-	wv_peers_plan_reports(entry->peers, now, own.view, targets);
+	wv_peers_plan_reports(entry->peers, now, &own, targets);
 	send_round(reports, &own, targets);
 	g_array_unref(targets);
 }
@@ -278,7 +278,7 @@
 		apply_hubs(reports, packed);
 	if (packed->introduces)
 		answer_introduction(reports, &report);
-	store_sync_compare_revisions(entry->store, report.revisions);
+	store_sync_compare_revisions(entry->store, &report);
 }
 
 static bool
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -42,6 +42,8 @@
 #define MAX_VMS_WAIT 4000.0
 /** Time after the start for which a leaf awaits the lists of a hub, ms. */
 #define MAX_HUB_WAIT 6000.0
+/** Time in which a hub of the own zone gets changes that a peer has, ms. */
+#define NEAR_SOURCE_WAIT 700.0
 /** Interval between checks whether a hub is known, ms. */
 #define HUB_CHECK_INTERVAL 50.0
 /** Time after the start before this VM may become a watcher, ms. */
@@ -545,6 +547,7 @@
 	struct store_sync *sync = follower->sync;
 	const char *peer = find_peer(follower);
 
+	follower->awaits_near = false;
 	if (awaits_vms(follower) || (awaits_hub(follower) && peer[0] == '\0')) {
 		set_timer(follower, HUB_CHECK_INTERVAL);
 		return;
@@ -596,20 +599,49 @@
 	if (store_sync_has_failed(follower->sync))
 		return !follower->calling || !follower->from_peer;
 	return !follower->sync->watching && !follower->calling &&
-	    !event_pending(follower->timer, EV_TIMEOUT, NULL);
+	    (follower->awaits_near ||
+		!event_pending(follower->timer, EV_TIMEOUT, NULL));
+}
+
+/* Whether changes are not read from a peer yet, but later from a nearer one. */
+static bool
+awaits_near_source(
+    const struct store_sync *sync, const struct wv_peer_report *report)
+{
+	const struct entry *entry = sync->entry;
+
+	return !store_sync_has_failed(sync) &&
+	    !wv_string_equal(
+		report->zone, wv_string_borrow(entry->settings->zone)) &&
+	    wv_peers_has_near_source(entry->peers, entry_now(entry));
+}
+
+static void
+await_near_source(struct follower *follower)
+{
+	if (follower->awaits_near)
+		return;
+	follower->awaits_near = true;
+	set_timer(follower, NEAR_SOURCE_WAIT);
 }
 
 void
 store_sync_compare_revisions(
-    struct store_sync *sync, const uint64_t revisions[WV_PEER_DATA_COUNT])
+    struct store_sync *sync, const struct wv_peer_report *report)
 {
+	bool wait = awaits_near_source(sync, report);
+
 	for (int i = 0; i < STORE_KIND_COUNT; i++) {
 		struct follower *follower = &sync->followers[i];
 
 		if (!is_followed(follower) || !may_call_peer(follower) ||
-		    revisions[peer_data_of(follower)] <=
+		    report->revisions[peer_data_of(follower)] <=
 			wv_change_log_revision(follower->changes))
 			continue;
+		if (wait) {
+			await_near_source(follower);
+			continue;
+		}
 		if (follower->calling)
 			close_client(follower);
 		make_next_call(follower);
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -36,6 +36,8 @@
 				one */
 	bool calling; /**< a call is in progress */
 	bool from_peer; /**< the call goes to another VM, not the store */
+	bool awaits_near; /**< the timer ends a wait for a near peer's copy
+				of changes that another one has */
 	bool found_self; /**< the list has this VM's registration */
 	bool listed; /**< a list has been read since the start */
 	bool after_outage; /**< the next changes follow an outage of the
--- a/src/peers_hubs.c
+++ b/src/peers_hubs.c
@@ -381,12 +381,24 @@
 	    (peer->attached_at > -WV_MSEC_NEVER && peer->known_view != 0);
 }
 
+/* Whether a VM has not been sent these revisions; notes that it is now. */
+static bool
+update_revisions_sent(struct peer *peer, const struct wv_peer_report *own)
+{
+	bool changed = memcmp(peer->revisions_sent, own->revisions,
+			   sizeof(own->revisions)) != 0;
+
+	memcpy(peer->revisions_sent, own->revisions, sizeof(own->revisions));
+	return changed;
+}
+
 /*
  * Adds VMs that are attached to this one, such that are wrong about the hubs,
  * and silent ones at times.
  */
 static void
-add_others(struct wv_peers *peers, wv_msec now, uint64_t view, GArray *targets)
+add_others(struct wv_peers *peers, wv_msec now,
+    const struct wv_peer_report *own, GArray *targets)
 {
 	bool include_silent =
 	    peers->is_hub && peers->rounds % SILENT_PEER_ROUNDS == 0;
@@ -401,12 +413,15 @@
 		if (peer->address.length == 0 || is_partner(peers, peer))
 			continue;
 		if (is_attached(peer, now)) {
-			if (must_list_hubs(peer, now, view))
-				add_target_with_hubs(targets, now, peer, view);
-			else if (include_unchanged)
+			bool is_news = update_revisions_sent(peer, own);
+
+			if (must_list_hubs(peer, now, own->view))
+				add_target_with_hubs(
+				    targets, now, peer, own->view);
+			else if (is_news || include_unchanged)
 				add_target(targets, now, peer);
 		} else if (must_learn_hubs(peers, peer, now)) {
-			add_target_with_hubs(targets, now, peer, view);
+			add_target_with_hubs(targets, now, peer, own->view);
 		} else if (include_silent && was_partner(peer) &&
 		    !peer_is_alive(peer, now)) {
 			add_target(targets, now, peer);
@@ -464,16 +479,32 @@
 	return target;
 }
 
+bool
+wv_peers_has_near_source(const struct wv_peers *peers, wv_msec now)
+{
+	for (guint i = 0; i < peers->hubs->len; i++) {
+		const struct peer *hub = peers->hubs->pdata[i];
+
+		if (is_heard_hub(hub, now) &&
+		    wv_string_equal(hub->zone, peers->own_zone) &&
+		    (!peers->is_hub ||
+			compare_strength(hub->capacity, hub->hash,
+			    peers->own_capacity, peers->own_hash) < 0))
+			return true;
+	}
+	return false;
+}
+
 void
-wv_peers_plan_reports(
-    struct wv_peers *peers, wv_msec now, uint64_t view, GArray *targets)
+wv_peers_plan_reports(struct wv_peers *peers, wv_msec now,
+    const struct wv_peer_report *own, GArray *targets)
 {
 	g_array_set_size(targets, 0);
 	if (peers->is_hub)
-		add_hubs(peers, now, view, targets);
+		add_hubs(peers, now, own->view, targets);
 	else
 		add_attachments(peers, now, targets);
-	add_others(peers, now, view, targets);
+	add_others(peers, now, own, targets);
 	add_introductions(peers, now, targets);
 	peers->rounds++;
 }
--- a/src/peers_private.h
+++ b/src/peers_private.h
@@ -39,6 +39,8 @@
 	wv_msec attached_at; /**< its last report with attach set */
 	wv_msec hubs_sent_at; /**< last report to it with all hubs */
 	uint64_t view_sent; /**< this VM's view in that report */
+	/** This VM's revisions in the last report to it */
+	uint64_t revisions_sent[WV_PEER_DATA_COUNT];
 	uint64_t view; /**< hash of its live hubs, from its last report */
 	uint64_t known_view; /**< hash of this VM's hubs that it has received */
 	/** Per attachment: view of that hub that last named this VM; 0: none */
--- a/test/peer_fleet.h
+++ b/test/peer_fleet.h
@@ -24,6 +24,7 @@
 	double capacity;
 	uint64_t incarnation;
 	uint64_t sequence;
+	uint64_t revision; /* of the routes that it knows */
 	bool store_failed;
 	bool is_cut; /* its datagrams are lost, in both directions */
 	wv_msec next_round;
@@ -54,6 +55,7 @@
 	    .serving = true,
 	    .capacity = vm->capacity,
 	    .store_failed = vm->store_failed,
+	    .revisions = {[WV_PEER_ROUTES] = vm->revision},
 	    .is_leaf = !wv_peers_is_hub(vm->peers),
 	};
 
@@ -126,7 +128,7 @@
 
 	wv_peers_update(vm->peers, fleet->now);
 	own = fleet_own_report(fleet, vm);
-	wv_peers_plan_reports(vm->peers, fleet->now, own.view, targets);
+	wv_peers_plan_reports(vm->peers, fleet->now, &own, targets);
 	for (guint i = 0; i < targets->len; i++)
 		fleet_send(fleet, vm,
 		    &g_array_index(targets, struct wv_peer_target, i));
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "wisteriavane/peers.h"
+#include "wisteriavane/registry.h"
 
 static struct wv_peers *
 create_peers(struct wv_string name, double capacity)
@@ -142,6 +143,97 @@
 	wv_peers_destroy(peers);
 }
 
+static guint
+count_in_zone(const struct wv_peers *peers, const char *zone)
+{
+	GPtrArray *list = g_ptr_array_new();
+	guint n = 0;
+
+	wv_peers_list_caller_addresses(
+	    peers, 0, (struct wv_string){"", 0}, list);
+	for (guint i = 0; i < list->len; i++)
+		n += g_str_has_prefix(list->pdata[i], zone);
+	g_ptr_array_free(list, TRUE);
+	return n;
+}
+
+/*
+ * Callers are sent to the zones of the searchers, but not if too few VMs are
+ * there to carry all callers.
+ */
+static void
+test_caller_zones(void)
+{
+	struct wv_peers *peers =
+	    wv_peers_create(wv_string_borrow("me"), wv_string_borrow("z9"), 1);
+	GPtrArray *zones = g_ptr_array_new();
+
+	for (unsigned i = 0; i < 12; i++) {
+		char name[16], zone[16], callers[32];
+		struct wv_peer_report a;
+
+		g_snprintf(name, sizeof(name), "vm%u", i);
+		g_snprintf(zone, sizeof(zone), "z%u", i % 4);
+		g_snprintf(callers, sizeof(callers), "%s.%u", zone, i);
+		a = make_report(name, 1);
+		a.zone = wv_string_borrow(zone);
+		a.caller_address = wv_string_borrow(callers);
+		wv_peers_apply_report(peers, 0, &a);
+	}
+	g_ptr_array_add(zones, "z0");
+	g_ptr_array_add(zones, "z1");
+	wv_peers_set_caller_zones(peers, zones);
+	g_assert_cmpuint(count_addresses(peers, 0), ==, 6);
+	g_assert_cmpuint(count_in_zone(peers, "z0"), ==, 3);
+	g_assert_cmpuint(count_in_zone(peers, "z1"), ==, 3);
+	/* Three of twelve VMs would have to carry all callers. */
+	g_ptr_array_set_size(zones, 1);
+	wv_peers_set_caller_zones(peers, zones);
+	g_assert_cmpuint(count_addresses(peers, 0), ==, 12);
+	g_ptr_array_unref(zones);
+	wv_peers_destroy(peers);
+}
+
+static void
+release_nothing(struct wv_registry_ops *ops, struct wv_searcher *searcher)
+{
+	(void)ops;
+	(void)searcher;
+}
+
+/* Zones with few searchers, such as those of one small service, don't count. */
+static void
+test_main_zones(void)
+{
+	static const unsigned searchers[] = {90, 60, 10};
+	struct wv_registry_ops ops = {release_nothing};
+	struct wv_registry *registry =
+	    wv_registry_create(wv_string_borrow("z0"), &ops);
+	GPtrArray *zones = g_ptr_array_new();
+
+	for (unsigned z = 0; z < G_N_ELEMENTS(searchers); z++) {
+		for (unsigned i = 0; i < searchers[z]; i++) {
+			char id[16], zone[16];
+			struct wv_searcher_entry entry = {
+			    .service = wv_string_borrow("s"),
+			    .address = wv_string_borrow("127.0.0.1:1"),
+			    .slots = 1};
+
+			g_snprintf(id, sizeof(id), "%u-%u", z, i);
+			g_snprintf(zone, sizeof(zone), "z%u", z);
+			entry.id = wv_string_borrow(id);
+			entry.zone = wv_string_borrow(zone);
+			wv_registry_update(registry, 0, &entry);
+		}
+	}
+	wv_registry_list_main_zones(registry, zones);
+	g_assert_cmpuint(zones->len, ==, 2);
+	for (guint i = 0; i < zones->len; i++)
+		g_assert_cmpstr(zones->pdata[i], !=, "z2");
+	g_ptr_array_unref(zones);
+	wv_registry_destroy(registry);
+}
+
 /*
  * Returns how many of n VMs consider themselves watchers, when each has
  * received the reports of all others.
@@ -253,6 +345,8 @@
 	g_test_add_func("/peers/leaving", test_leaving);
 	g_test_add_func("/peers/clock-back", test_clock_set_back);
 	g_test_add_func("/peers/preferred", test_preferred);
+	g_test_add_func("/peers/caller-zones", test_caller_zones);
+	g_test_add_func("/peers/main-zones", test_main_zones);
 	g_test_add_func("/peers/watchers", test_watchers);
 	g_test_add_func("/peers/failed-watcher", test_failed_watcher);
 	g_test_add_func(
--- a/test/test_peers_fleet.c
+++ b/test/test_peers_fleet.c
@@ -20,6 +20,8 @@
 #define MAX_HUBS 32
 /** Reports that a leaf may send per second, whatever the size of the fleet. */
 #define MAX_LEAF_SENT_PER_S 5
+/** A round of the hubs and the delay of one more event, ms. */
+#define NEWS_TIME 300
 /** VMs that watch the store. */
 #define N_WATCHERS 3
 
@@ -254,6 +256,42 @@
 	fleet_destroy(fleet);
 }
 
+/*
+ * Leaves hear of unchanged hubs once a second only, but of new revisions in the
+ * next round: a version must be in force everywhere within seconds.
+ */
+static void
+test_news_reach_leaves(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+
+	fleet_run(fleet, SETTLE_TIME);
+	for (size_t i = 0; i < 18; i++)
+		fleet->vms[i].revision = 7;
+	fleet_run(fleet, NEWS_TIME);
+	for (size_t i = 18; i < 295; i++)
+		g_assert_cmpuint(wv_peers_find_ahead(fleet->vms[i].peers,
+				     fleet->now, WV_PEER_ROUTES, 6)
+				     .length,
+		    >, 0);
+	fleet_destroy(fleet);
+}
+
+/* In each zone, one VM reads changes from afar and the others from it. */
+static void
+test_near_sources(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+	unsigned without = 0;
+
+	fleet_run(fleet, SETTLE_TIME);
+	for (size_t i = 0; i < 295; i++)
+		without +=
+		    !wv_peers_has_near_source(fleet->vms[i].peers, fleet->now);
+	g_assert_cmpuint(without, ==, fleet->zones);
+	fleet_destroy(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -270,5 +308,8 @@
 	g_test_add_func(
 	    "/peers-fleet/start-without-list", test_start_without_list);
 	g_test_add_func("/peers-fleet/watchers-bounded", test_watchers_bounded);
+	g_test_add_func(
+	    "/peers-fleet/news-reach-leaves", test_news_reach_leaves);
+	g_test_add_func("/peers-fleet/near-sources", test_near_sources);
 	return g_test_run();
 }
--- a/wisteriavane/peers.h
+++ b/wisteriavane/peers.h
@@ -125,11 +125,11 @@
 /**
  * Plans a round of reports.
  *
- * @param view     this VM's view
+ * @param own      this VM's own report
  * @param targets  receives struct wv_peer_target; emptied first
  */
-void wv_peers_plan_reports(
-    struct wv_peers *peers, wv_msec now, uint64_t view, GArray *targets);
+void wv_peers_plan_reports(struct wv_peers *peers, wv_msec now,
+    const struct wv_peer_report *own, GArray *targets);
 
 /**
  * Returns how the report of a hub that introduces itself is answered: with a
@@ -186,6 +186,13 @@
 struct wv_string wv_peers_find_ahead(const struct wv_peers *peers, wv_msec now,
     enum wv_peer_data state, uint64_t revision);
 
+/**
+ * Returns whether a live hub in the zone of this VM gets changes of the store
+ * first: this VM waits a little and reads them from there, so that they cross
+ * into the zone once.
+ */
+bool wv_peers_has_near_source(const struct wv_peers *peers, wv_msec now);
+
 /** Returns the interval between rounds of reports, ms. */
 wv_msec wv_peers_report_interval(const struct wv_peers *peers);
 
