--- a/src/peers_hubs.c
+++ b/src/peers_hubs.c
@@ -485,7 +485,9 @@
 	for (guint i = 0; i < peers->hubs->len; i++) {
 		const struct peer *hub = peers->hubs->pdata[i];
 
-		if (is_heard_hub(hub, now) &&
+		/* Only its own reports tell which changes it has. */
+		if (peer_is_alive(hub, now) &&
+		    now - hub->heard_at <= hub->max_silence &&
 		    wv_string_equal(hub->zone, peers->own_zone) &&
 		    (!peers->is_hub ||
 			compare_strength(hub->capacity, hub->hash,
