--- a/entry/main.c
+++ b/entry/main.c
@@ -27,8 +27,8 @@
  * Time before the limit of a stop at which open requests are aborted, ms, and
  * as a fraction of that limit. The process ends halfway between.
  */
-#define STOP_MARGIN 800.0
-#define STOP_FRACTION 0.15
+#define STOP_MARGIN 1000.0
+#define STOP_FRACTION 0.17
 /**
  * Time before the limit of a stop from which new requests are refused, ms, and
  * as a fraction of that limit: the earlier ones can still be answered.
