--- a/entry/reports.c
+++ b/entry/reports.c
@@ -105,7 +105,7 @@
 	report.attach = target->attach;
 	report.introduces = target->introduces;
 	report.known_view = target->known_view;
-	if (target->with_hubs) {
+	if (target->with_hubs && hubs != NULL) {
 		report.n_hubs = hubs->len;
 		report.hubs = (VmState **)hubs->pdata;
 	}
--- /dev/null
+++ b/entry/store_answer.c
@@ -0,0 +1,211 @@
+/**
+ * @file
+ * Applies answers of the store or of another VM: pages of lists and sets of
+ * changes.
+ */
+#include <string.h>
+
+#include "entry/store_sync_private.h"
+
+/** Lists of VMs that may be seconds old, before one that may not. */
+#define MAX_STALE_LISTS 3
+
+void
+store_restart_list(struct follower *follower)
+{
+	g_free(follower->list_after);
+	follower->list_after = NULL;
+	follower->phase = PHASE_LIST;
+}
+
+bool
+store_reads_stale_list(const struct follower *follower)
+{
+	return !store_is_followed(follower) &&
+	    follower->stale_lists < MAX_STALE_LISTS;
+}
+
+/* Handles the end of the list of VMs. */
+static void
+complete_vm_list(struct follower *follower)
+{
+	struct entry *entry = follower->sync->entry;
+
+	if (!follower->found_self && store_reads_stale_list(follower)) {
+		follower->stale_lists++;
+		return;
+	}
+	follower->phase = follower->found_self ? PHASE_DONE : PHASE_REPLACE;
+	entry->vms_listed = true;
+	entry_update_limits(entry);
+	if (entry->reports != NULL)
+		reports_send(entry->reports);
+}
+
+/* Handles the end of a list. */
+static void
+complete_list(struct follower *follower)
+{
+	struct entry *entry = follower->sync->entry;
+
+	g_free(follower->list_after);
+	follower->list_after = NULL;
+	if (!store_is_followed(follower)) {
+		complete_vm_list(follower);
+		return;
+	}
+	follower->phase = PHASE_FOLLOW;
+	/*
+	 * This VM missed changes before it read the list again; VMs that read
+	 * from it may have missed them too.
+	 */
+	if (follower->listed)
+		wv_change_log_announce_listing(follower->changes);
+	follower->listed = true;
+	if (follower->kind != STORE_SEARCHERS)
+		return;
+	wv_registry_end_list(entry->registry, entry_now(entry));
+	entry->searchers_known = true;
+	log_line(entry->log, LOG_CHANGE, "searchers_listed",
+	    "\"searchers\":%zu,\"revision\":%" G_GUINT64_FORMAT,
+	    wv_registry_size(entry->registry),
+	    wv_change_log_revision(follower->changes));
+}
+
+static void
+copy_listed_objects(struct follower *follower)
+{
+	for (guint i = 0; i < follower->received->len; i++) {
+		struct wv_change *change = follower->received->pdata[i];
+
+		wv_change_log_put_object(follower->changes,
+		    wv_string_borrow(change->name), change->text);
+		change->text = NULL;
+	}
+}
+
+static void
+apply_list_page(struct follower *follower, const struct store_page *page)
+{
+	/*
+	 * Later pages may have a newer revision. The first one's is kept, so
+	 * that the changes in between are read afterwards.
+	 */
+	if (follower->list_after == NULL)
+		wv_change_log_reset(follower->changes, page->revision);
+	copy_listed_objects(follower);
+	g_free(follower->list_after);
+	follower->list_after = g_strdup(page->last_name);
+	if (!page->more || page->last_name == NULL)
+		complete_list(follower);
+}
+
+static void
+log_outdated_answer(const struct follower *follower, const char *what)
+{
+	log_line(follower->sync->entry->log, LOG_CHANGE, "answer_behind",
+	    "\"kind\":\"%s\",\"what\":\"%s\",\"from\":\"%s\","
+	    "\"revision\":%" G_GUINT64_FORMAT ",\"known\":%" G_GUINT64_FORMAT,
+	    store_kind_name(follower->kind), what, follower->address,
+	    follower->page->revision,
+	    wv_change_log_revision(follower->changes));
+}
+
+static void
+apply_changes(struct follower *follower, const struct store_page *page)
+{
+	struct store_sync *sync = follower->sync;
+
+	if (!wv_change_log_add(follower->changes, entry_now(sync->entry),
+		page->revision, follower->received,
+		follower->after_outage || page->after_outage)) {
+		log_outdated_answer(follower, "changes");
+		return;
+	}
+	follower->after_outage = false;
+}
+
+bool
+store_is_outdated_list(const struct follower *follower)
+{
+	return follower->phase == PHASE_LIST && follower->from_peer &&
+	    follower->list_after == NULL &&
+	    follower->page->revision <
+	    wv_change_log_revision(follower->changes);
+}
+
+/* Applies an answer's members; returns false for an outdated list. */
+static bool
+apply_page(struct follower *follower, const struct store_page *page)
+{
+	if (store_is_outdated_list(follower)) {
+		log_outdated_answer(follower, "list");
+		return false;
+	}
+	if (follower->phase == PHASE_LIST)
+		apply_list_page(follower, page);
+	else
+		apply_changes(follower, page);
+	return true;
+}
+
+/*
+ * Prepares the registry for the objects of an answer: begins a list, and begins
+ * the grace period before they are applied if another VM noticed an outage.
+ */
+static void
+prepare_registry(struct follower *follower, const struct message *answer)
+{
+	struct entry *entry = follower->sync->entry;
+
+	if (follower->kind != STORE_SEARCHERS)
+		return;
+	if (follower->from_peer &&
+	    strstr(answer->body->str, entry->adapter->outage_mark) != NULL)
+		wv_registry_start_grace(
+		    entry->registry, entry_now(entry), OUTAGE_GRACE);
+	if (follower->phase == PHASE_LIST && follower->list_after == NULL)
+		wv_registry_begin_list(entry->registry);
+}
+
+/* Sends callers to the availability zones of most searchers. */
+static void
+update_caller_zones(struct entry *entry)
+{
+	GPtrArray *zones = g_ptr_array_new();
+
+	wv_registry_list_main_zones(entry->registry, zones);
+	wv_peers_set_caller_zones(entry->peers, zones);
+	g_ptr_array_unref(zones);
+}
+
+bool
+store_apply_body(struct follower *follower, const struct message *answer)
+{
+	struct entry *entry = follower->sync->entry;
+	struct wv_string body = {answer->body->str, answer->body->len};
+	struct wv_status status = {0};
+	struct store_page page = {0};
+	bool valid;
+
+	prepare_registry(follower, answer);
+	follower->received = wv_change_list_create();
+	follower->page = &page;
+	valid = entry->adapter->decode(
+	    body, &page, store_apply_object, follower, &status);
+	if (valid)
+		valid = apply_page(follower, &page);
+	else
+		log_line(entry->log, LOG_CHANGE, "store_answer_unreadable",
+		    "\"kind\":\"%s\",\"why\":\"%s\"",
+		    store_kind_name(follower->kind), status.message);
+	g_ptr_array_unref(follower->received);
+	follower->received = NULL;
+	follower->page = NULL;
+	g_free(page.last_name);
+	wv_dispatch_registry_changed(entry->dispatch, entry_now(entry));
+	if (follower->kind == STORE_SEARCHERS)
+		update_caller_zones(entry);
+	entry_schedule_tick(entry);
+	return valid;
+}
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -30,46 +30,34 @@
  */
 #define MIN_FAILURES 2
 #define FAILED_PERIOD 3000.0
-/** Failed calls for a list after which it is requested from another VM. */
-#define MAX_LIST_FAILURES 2
-/**
- * Lists of VMs that may be seconds old, before one that may not; the delay
- * between them, ms.
- */
-#define MAX_STALE_LISTS 3
+/** Delay before a list of VMs that lacks this one is read again, ms. */
 #define STALE_LIST_DELAY 1000.0
-/** Time after the start for which the list of VMs is awaited, ms. */
-#define MAX_VMS_WAIT 4000.0
-/** Time after the start for which a leaf awaits the lists of a hub, ms. */
-#define MAX_HUB_WAIT 6000.0
-/** Time in which a hub of the own zone gets changes that a peer has, ms. */
-#define NEAR_SOURCE_WAIT 700.0
 /** Interval between checks whether a hub is known, ms. */
 #define HUB_CHECK_INTERVAL 50.0
 /** Time after the start before this VM may become a watcher, ms. */
 #define WATCH_START_DELAY 600.0
 /** Shortest outage in which registrations may expire, ms. */
 #define MIN_OUTAGE 400.0
-/**
- * Time after an outage of the store for which missing searchers count as
- * present, ms: registrations that expired meanwhile are written again within
- * two seconds.
- */
-#define OUTAGE_GRACE 2200.0
 
-static const char *const kind_names[STORE_KIND_COUNT] = {
-    "routes", "searchers", "vms"};
+const char *
+store_kind_name(enum store_kind kind)
+{
+	static const char *const names[STORE_KIND_COUNT] = {
+	    "routes", "searchers", "vms"};
 
-static void
-set_timer(struct follower *follower, wv_msec delay)
+	return names[kind];
+}
+
+void
+store_set_timer(struct follower *follower, wv_msec delay)
 {
 	struct timeval time = socket_timeval(delay);
 
 	event_add(follower->timer, &time);
 }
 
-static void
-close_client(struct follower *follower)
+void
+store_close_client(struct follower *follower)
 {
 	if (follower->client != NULL)
 		client_destroy(follower->client);
@@ -77,18 +65,14 @@
 	follower->calling = false;
 }
 
-/*
- * Returns whether changes of the kind are followed. VMs are listed once; later
- * ones report themselves.
- */
-static bool
-is_followed(const struct follower *follower)
+bool
+store_is_followed(const struct follower *follower)
 {
 	return follower->kind != STORE_VMS;
 }
 
-static enum wv_peer_data
-peer_data_of(const struct follower *follower)
+enum wv_peer_data
+store_peer_data(const struct follower *follower)
 {
 	return follower->kind == STORE_ROUTES ? WV_PEER_ROUTES
 					      : WV_PEER_SEARCHERS;
@@ -121,7 +105,8 @@
 	sync->lost = true;
 	sync->lost_at = entry_now(entry);
 	log_line(entry->log, LOG_CHANGE, "store_lost",
-	    "\"kind\":\"%s\",\"why\":\"%s\"", kind_names[follower->kind], why);
+	    "\"kind\":\"%s\",\"why\":\"%s\"", store_kind_name(follower->kind),
+	    why);
 }
 
 static void
@@ -150,7 +135,7 @@
 	if (outage >= MIN_OUTAGE)
 		begin_outage_grace(sync);
 	log_line(entry->log, LOG_CHANGE, "store_regained",
-	    "\"kind\":\"%s\",\"away_ms\":%.0f", kind_names[follower->kind],
+	    "\"kind\":\"%s\",\"away_ms\":%.0f", store_kind_name(follower->kind),
 	    outage);
 }
 
@@ -158,218 +143,17 @@
 static void
 fail_call(struct follower *follower, const char *why, bool timed_out)
 {
-	close_client(follower);
+	store_close_client(follower);
 	if (!follower->from_peer)
 		record_failure(follower, why, timed_out);
 	else
 		log_line(follower->sync->entry->log, LOG_CHANGE,
 		    "peer_call_failed", "\"kind\":\"%s\",\"why\":\"%s\"",
-		    kind_names[follower->kind], why);
-	set_timer(follower, follower->backoff);
+		    store_kind_name(follower->kind), why);
+	store_set_timer(follower, follower->backoff);
 	follower->backoff = fmin(follower->backoff * 2, MAX_BACKOFF);
 }
 
-static void
-restart_list(struct follower *follower)
-{
-	g_free(follower->list_after);
-	follower->list_after = NULL;
-	follower->phase = PHASE_LIST;
-}
-
-bool
-store_reads_stale_list(const struct follower *follower)
-{
-	return !is_followed(follower) &&
-	    follower->stale_lists < MAX_STALE_LISTS;
-}
-
-/* Handles the end of the list of VMs. */
-static void
-complete_vm_list(struct follower *follower)
-{
-	struct entry *entry = follower->sync->entry;
-
-	if (!follower->found_self && store_reads_stale_list(follower)) {
-		follower->stale_lists++;
-		return;
-	}
-	follower->phase = follower->found_self ? PHASE_DONE : PHASE_REPLACE;
-	entry->vms_listed = true;
-	entry_update_limits(entry);
-	if (entry->reports != NULL)
-		reports_send(entry->reports);
-}
-
-/* Handles the end of a list. */
-static void
-complete_list(struct follower *follower)
-{
-	struct entry *entry = follower->sync->entry;
-
-	g_free(follower->list_after);
-	follower->list_after = NULL;
-	if (!is_followed(follower)) {
-		complete_vm_list(follower);
-		return;
-	}
-	follower->phase = PHASE_FOLLOW;
-	/*
-	 * This VM missed changes before it read the list again; VMs that read
-	 * from it may have missed them too.
-	 */
-	if (follower->listed)
-		wv_change_log_announce_listing(follower->changes);
-	follower->listed = true;
-	if (follower->kind != STORE_SEARCHERS)
-		return;
-	wv_registry_end_list(entry->registry, entry_now(entry));
-	entry->searchers_known = true;
-	log_line(entry->log, LOG_CHANGE, "searchers_listed",
-	    "\"searchers\":%zu,\"revision\":%" G_GUINT64_FORMAT,
-	    wv_registry_size(entry->registry),
-	    wv_change_log_revision(follower->changes));
-}
-
-static void
-copy_listed_objects(struct follower *follower)
-{
-	for (guint i = 0; i < follower->received->len; i++) {
-		struct wv_change *change = follower->received->pdata[i];
-
-		wv_change_log_put_object(follower->changes,
-		    wv_string_borrow(change->name), change->text);
-		change->text = NULL;
-	}
-}
-
-static void
-apply_list_page(struct follower *follower, const struct store_page *page)
-{
-	/*
-	 * Later pages may have a newer revision. The first one's is kept, so
-	 * that the changes in between are read afterwards.
-	 */
-	if (follower->list_after == NULL)
-		wv_change_log_reset(follower->changes, page->revision);
-	copy_listed_objects(follower);
-	g_free(follower->list_after);
-	follower->list_after = g_strdup(page->last_name);
-	if (!page->more || page->last_name == NULL)
-		complete_list(follower);
-}
-
-static void
-log_outdated_answer(const struct follower *follower, const char *what)
-{
-	log_line(follower->sync->entry->log, LOG_CHANGE, "answer_behind",
-	    "\"kind\":\"%s\",\"what\":\"%s\",\"from\":\"%s\","
-	    "\"revision\":%" G_GUINT64_FORMAT ",\"known\":%" G_GUINT64_FORMAT,
-	    kind_names[follower->kind], what, follower->address,
-	    follower->page->revision,
-	    wv_change_log_revision(follower->changes));
-}
-
-static void
-apply_changes(struct follower *follower, const struct store_page *page)
-{
-	struct store_sync *sync = follower->sync;
-
-	if (!wv_change_log_add(follower->changes, entry_now(sync->entry),
-		page->revision, follower->received,
-		follower->after_outage || page->after_outage)) {
-		log_outdated_answer(follower, "changes");
-		return;
-	}
-	follower->after_outage = false;
-}
-
-bool
-store_is_outdated_list(const struct follower *follower)
-{
-	return follower->phase == PHASE_LIST && follower->from_peer &&
-	    follower->list_after == NULL &&
-	    follower->page->revision <
-	    wv_change_log_revision(follower->changes);
-}
-
-/* Applies an answer's members; returns false for an outdated list. */
-static bool
-apply_page(struct follower *follower, const struct store_page *page)
-{
-	if (store_is_outdated_list(follower)) {
-		log_outdated_answer(follower, "list");
-		return false;
-	}
-	if (follower->phase == PHASE_LIST)
-		apply_list_page(follower, page);
-	else
-		apply_changes(follower, page);
-	return true;
-}
-
-/*
- * Prepares the registry for the objects of an answer: begins a list, and begins
- * the grace period before they are applied if another VM noticed an outage.
- */
-static void
-prepare_registry(struct follower *follower, const struct message *answer)
-{
-	struct entry *entry = follower->sync->entry;
-
-	if (follower->kind != STORE_SEARCHERS)
-		return;
-	if (follower->from_peer &&
-	    strstr(answer->body->str, entry->adapter->outage_mark) != NULL)
-		wv_registry_start_grace(
-		    entry->registry, entry_now(entry), OUTAGE_GRACE);
-	if (follower->phase == PHASE_LIST && follower->list_after == NULL)
-		wv_registry_begin_list(entry->registry);
-}
-
-/* Sends callers to the availability zones of most searchers. */
-static void
-update_caller_zones(struct entry *entry)
-{
-	GPtrArray *zones = g_ptr_array_new();
-
-	wv_registry_list_main_zones(entry->registry, zones);
-	wv_peers_set_caller_zones(entry->peers, zones);
-	g_ptr_array_unref(zones);
-}
-
-/* Applies the body of an answer; returns false if it is invalid or outdated. */
-static bool
-apply_body(struct follower *follower, const struct message *answer)
-{
-	struct entry *entry = follower->sync->entry;
-	struct wv_string body = {answer->body->str, answer->body->len};
-	struct wv_status status = {0};
-	struct store_page page = {0};
-	bool valid;
-
-	prepare_registry(follower, answer);
-	follower->received = wv_change_list_create();
-	follower->page = &page;
-	valid = entry->adapter->decode(
-	    body, &page, store_apply_object, follower, &status);
-	if (valid)
-		valid = apply_page(follower, &page);
-	else
-		log_line(entry->log, LOG_CHANGE, "store_answer_unreadable",
-		    "\"kind\":\"%s\",\"why\":\"%s\"",
-		    kind_names[follower->kind], status.message);
-	g_ptr_array_unref(follower->received);
-	follower->received = NULL;
-	follower->page = NULL;
-	g_free(page.last_name);
-	wv_dispatch_registry_changed(entry->dispatch, entry_now(entry));
-	if (follower->kind == STORE_SEARCHERS)
-		update_caller_zones(entry);
-	entry_schedule_tick(entry);
-	return valid;
-}
-
 /* Handles the answer to a write; returns false if the write failed. */
 static bool
 handle_write_answer(struct follower *follower, unsigned status)
@@ -398,13 +182,13 @@
 		return false;
 	}
 	if (answer->status == 410) {
-		restart_list(follower);
+		store_restart_list(follower);
 		/* Read the list from a VM too: one that is ahead has it. */
 		if (follower->from_peer)
 			follower->failures = MAX_LIST_FAILURES;
 		return true;
 	}
-	return answer->status == 200 && apply_body(follower, answer);
+	return answer->status == 200 && store_apply_body(follower, answer);
 }
 
 /*
@@ -420,13 +204,13 @@
 
 	event_del(follower->timer);
 	if (follower->phase == PHASE_DONE)
-		close_client(follower);
+		store_close_client(follower);
 	else if (follower->stale_lists > 0 && follower->list_after == NULL)
-		set_timer(follower, STALE_LIST_DELAY);
+		store_set_timer(follower, STALE_LIST_DELAY);
 	else if (follower->phase != PHASE_FOLLOW)
-		set_timer(follower, 0);
+		store_set_timer(follower, 0);
 	else if (sync->watching)
-		set_timer(follower, was_following ? BATCH_DELAY : 0);
+		store_set_timer(follower, was_following ? BATCH_DELAY : 0);
 }
 
 static bool
@@ -447,7 +231,7 @@
 	if (!follower->from_peer)
 		record_answer(follower);
 	if (!client_is_reusable(client))
-		close_client(follower);
+		store_close_client(follower);
 	schedule_next_call(follower, was_following);
 	return true;
 }
@@ -464,54 +248,11 @@
 					  : "connection ended",
 		    false);
 	else
-		close_client(follower);
+		store_close_client(follower);
 }
 
 static const struct client_ops ops = {on_answer, on_end};
 
-/* Whether a list is to be read from a hub, as by a leaf that has started. */
-static bool
-awaits_hub(const struct follower *follower)
-{
-	const struct entry *entry = follower->sync->entry;
-
-	return is_followed(follower) && follower->phase == PHASE_LIST &&
-	    !follower->listed && !wv_peers_is_hub(entry->peers) &&
-	    entry_now(entry) - entry->started_at < MAX_HUB_WAIT;
-}
-
-/* Whether this VM does not know yet whether it is a hub. */
-static bool
-awaits_vms(const struct follower *follower)
-{
-	const struct entry *entry = follower->sync->entry;
-
-	return is_followed(follower) && !entry->vms_listed &&
-	    !follower->sync->lost &&
-	    entry_now(entry) - entry->started_at < MAX_VMS_WAIT;
-}
-
-/*
- * Returns the address IP:PORT of another VM to call instead of the store, or ""
- * to call the store. Borrowed.
- */
-static const char *
-find_peer(const struct follower *follower)
-{
-	struct entry *entry = follower->sync->entry;
-	bool list = follower->phase == PHASE_LIST;
-
-	if (!is_followed(follower) || store_is_write(follower) ||
-	    (list && !awaits_hub(follower) &&
-		follower->failures < MAX_LIST_FAILURES) ||
-	    (!list && follower->sync->watching &&
-		!store_sync_has_failed(follower->sync)))
-		return "";
-	return wv_peers_find_ahead(entry->peers, entry_now(entry),
-	    peer_data_of(follower), wv_change_log_revision(follower->changes))
-	    .data;
-}
-
 /* Sends the next call to an address IP:PORT. */
 static void
 send_call(struct follower *follower, const char *address)
@@ -523,7 +264,7 @@
 
 	if (follower->address == NULL ||
 	    !g_str_equal(follower->address, address)) {
-		close_client(follower);
+		store_close_client(follower);
 		g_free(follower->address);
 		follower->address = g_strdup(address);
 	}
@@ -536,20 +277,20 @@
 	if (!follower->from_peer)
 		wv_counter_add(&entry->metrics.store_calls, 1);
 	client_send(follower->client, bytes, false);
-	set_timer(follower, CALL_TIMEOUT + (waits ? STORE_WATCH_WAIT : 0));
+	store_set_timer(
+	    follower, CALL_TIMEOUT + (waits ? STORE_WATCH_WAIT : 0));
 	g_string_free(request, TRUE);
 }
 
-/* Makes the next call, unless only watchers make it. */
-static void
-make_next_call(struct follower *follower)
+void
+store_make_next_call(struct follower *follower)
 {
 	struct store_sync *sync = follower->sync;
-	const char *peer = find_peer(follower);
+	const char *peer = store_find_peer(follower);
 
 	follower->awaits_near = false;
-	if (awaits_vms(follower) || (awaits_hub(follower) && peer[0] == '\0')) {
-		set_timer(follower, HUB_CHECK_INTERVAL);
+	if (store_must_wait(follower, peer)) {
+		store_set_timer(follower, HUB_CHECK_INTERVAL);
 		return;
 	}
 	follower->from_peer = peer[0] != '\0';
@@ -569,7 +310,7 @@
 	if (follower->calling)
 		fail_call(follower, "no answer in time", true);
 	else
-		make_next_call(follower);
+		store_make_next_call(follower);
 }
 
 uint64_t
@@ -587,67 +328,6 @@
 	return entry_now(sync->entry) - sync->failed_at < FAILED_PERIOD;
 }
 
-/*
- * Returns whether a follower may call another VM now. If the store has failed,
- * this may interrupt a call of the store or a backoff.
- */
-static bool
-may_call_peer(const struct follower *follower)
-{
-	if (follower->phase != PHASE_FOLLOW)
-		return false;
-	if (store_sync_has_failed(follower->sync))
-		return !follower->calling || !follower->from_peer;
-	return !follower->sync->watching && !follower->calling &&
-	    (follower->awaits_near ||
-		!event_pending(follower->timer, EV_TIMEOUT, NULL));
-}
-
-/* Whether changes are not read from a peer yet, but later from a nearer one. */
-static bool
-awaits_near_source(
-    const struct store_sync *sync, const struct wv_peer_report *report)
-{
-	const struct entry *entry = sync->entry;
-
-	return !store_sync_has_failed(sync) &&
-	    !wv_string_equal(
-		report->zone, wv_string_borrow(entry->settings->zone)) &&
-	    wv_peers_has_near_source(entry->peers, entry_now(entry));
-}
-
-static void
-await_near_source(struct follower *follower)
-{
-	if (follower->awaits_near)
-		return;
-	follower->awaits_near = true;
-	set_timer(follower, NEAR_SOURCE_WAIT);
-}
-
-void
-store_sync_compare_revisions(
-    struct store_sync *sync, const struct wv_peer_report *report)
-{
-	bool wait = awaits_near_source(sync, report);
-
-	for (int i = 0; i < STORE_KIND_COUNT; i++) {
-		struct follower *follower = &sync->followers[i];
-
-		if (!is_followed(follower) || !may_call_peer(follower) ||
-		    report->revisions[peer_data_of(follower)] <=
-			wv_change_log_revision(follower->changes))
-			continue;
-		if (wait) {
-			await_near_source(follower);
-			continue;
-		}
-		if (follower->calling)
-			close_client(follower);
-		make_next_call(follower);
-	}
-}
-
 void
 store_sync_update_role(struct store_sync *sync)
 {
@@ -667,7 +347,7 @@
 		struct follower *follower = &sync->followers[i];
 
 		if (follower->phase == PHASE_FOLLOW && !follower->calling)
-			set_timer(follower, 0);
+			store_set_timer(follower, 0);
 	}
 }
 
@@ -690,7 +370,7 @@
 		follower->changes = wv_change_log_create();
 		follower->timer =
 		    event_new(entry->base, -1, 0, on_timer, follower);
-		set_timer(follower, 0);
+		store_set_timer(follower, 0);
 	}
 	return sync;
 }
@@ -701,7 +381,7 @@
 	for (int i = 0; i < STORE_KIND_COUNT; i++) {
 		struct follower *follower = &sync->followers[i];
 
-		close_client(follower);
+		store_close_client(follower);
 		event_free(follower->timer);
 		wv_change_log_destroy(follower->changes);
 		g_free(follower->address);
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -16,6 +16,15 @@
  */
 #define STORE_WATCH_WAIT 1000
 
+/** Failed calls for a list after which it is requested from another VM. */
+#define MAX_LIST_FAILURES 2
+/**
+ * Time after an outage of the store for which missing searchers count as
+ * present, ms: registrations that expired meanwhile are written again within
+ * two seconds.
+ */
+#define OUTAGE_GRACE 2200.0
+
 /** State of a follower. */
 enum phase {
 	PHASE_CREATE, /**< creates this VM's registration */
@@ -88,4 +97,46 @@
 /** Applies an object of an answer; data is the follower (store_visit). */
 void store_apply_object(void *data, const struct store_object *object);
 
+/** Returns the name of a kind of objects, for logs. */
+const char *store_kind_name(enum store_kind kind);
+
+/**
+ * Returns whether changes of the kind are followed. VMs are listed once; later
+ * ones report themselves.
+ */
+bool store_is_followed(const struct follower *follower);
+
+/** Returns the kind of data that VMs forward; for followed kinds only. */
+enum wv_peer_data store_peer_data(const struct follower *follower);
+
+/** Sets the follower's timer to a delay, ms. */
+void store_set_timer(struct follower *follower, wv_msec delay);
+
+/** Closes the connection and thereby ends the call in progress. */
+void store_close_client(struct follower *follower);
+
+/** Makes the next call, unless only watchers make it or it has to wait. */
+void store_make_next_call(struct follower *follower);
+
+/** Makes the next call read the list from its first page. */
+void store_restart_list(struct follower *follower);
+
+/** Applies the body of an answer; returns false if it is invalid or outdated.
+ */
+bool store_apply_body(struct follower *follower, const struct message *answer);
+
+/**
+ * Returns the address IP:PORT of another VM to call instead of the store, or ""
+ * to call the store. Borrowed.
+ */
+const char *store_find_peer(const struct follower *follower);
+
+/**
+ * Returns whether the next call has to wait until this VM knows its role or, as
+ * a leaf, a hub to read the list from.
+ *
+ * @param peer  result of store_find_peer()
+ */
+bool store_must_wait(const struct follower *follower, const char *peer);
+
 #endif
