Apply what a hub tells of a hub that was heard lately

Cause: found by reading: a leaf that had just heard a hub ignored what others told of it, so 2 of 295 VMs named a leaving hub to callers after 0.75 s (test leaving-hub).

Change: newer state is taken whoever tells it.

--- a/src/peers.c
+++ b/src/peers.c
@@ -79,8 +79,8 @@
 	return peer->has_report && now - peer->last_seen <= peer->max_silence;
 }
 
-void
-peer_replace_string(struct wv_string *string, struct wv_string value)
+static void
+replace_string(struct wv_string *string, struct wv_string value)
 {
 	if (wv_string_equal(*string, value))
 		return;
@@ -88,8 +88,8 @@
 	*string = wv_string_copy(value);
 }
 
-struct peer *
-peers_find_or_add(struct wv_peers *peers, wv_msec now, struct wv_string name)
+static struct peer *
+find_or_add(struct wv_peers *peers, wv_msec now, struct wv_string name)
 {
 	struct peer *peer = g_hash_table_lookup(peers->table, &name);
 
@@ -115,16 +115,16 @@
 
 	if (wv_string_equal(entry->name, peers->own_name))
 		return;
-	peer = peers_find_or_add(peers, now, entry->name);
+	peer = find_or_add(peers, now, entry->name);
 	if (peer_is_alive(peer, now))
 		return;
 	if (!wv_string_equal(peer->address, entry->address)) {
 		peer->asked_at = WV_MSEC_NEVER;
 		peer->was_hub = false;
 	}
-	peer_replace_string(&peer->address, entry->address);
+	replace_string(&peer->address, entry->address);
 	if (entry->zone.length > 0)
-		peer_replace_string(&peer->zone, entry->zone);
+		replace_string(&peer->zone, entry->zone);
 	peer->capacity = entry->capacity;
 }
 
@@ -141,9 +141,9 @@
 static void
 copy_state(struct peer *peer, const struct wv_peer_report *report)
 {
-	peer_replace_string(&peer->address, report->peer_address);
-	peer_replace_string(&peer->caller_address, report->caller_address);
-	peer_replace_string(&peer->zone, report->zone);
+	replace_string(&peer->address, report->peer_address);
+	replace_string(&peer->caller_address, report->caller_address);
+	replace_string(&peer->zone, report->zone);
 	peer->incarnation = report->incarnation;
 	peer->sequence = report->sequence;
 	peer->capacity = report->capacity;
@@ -152,7 +152,7 @@
 	peer->store_failed = report->store_failed;
 }
 
-/* Returns the attachment to a hub, or N_ATTACHMENTS if there is none. */
+/* Returns the index of the attachment to a hub, or N_ATTACHMENTS. */
 static int
 find_attachment_to(const struct wv_peers *peers, const struct peer *hub)
 {
@@ -207,7 +207,7 @@
 
 	if (wv_string_equal(report->name, peers->own_name))
 		return false;
-	peer = peers_find_or_add(peers, now, report->name);
+	peer = find_or_add(peers, now, report->name);
 	/* A new process looks older if the clock of its VM was set back. */
 	if (is_stale(peer, report) && peer->heard_at == peer->last_seen &&
 	    peer_is_alive(peer, now))
@@ -236,29 +236,31 @@
 	return true;
 }
 
-/* Applies what another hub knows of a hub. */
+/*
+ * Applies what a hub knows of another one.
+ *
+ * slot: attachment to the former, or N_ATTACHMENTS
+ */
 static void
 apply_hub(struct wv_peers *peers, wv_msec now, int slot, uint64_t view,
     const struct wv_peer_report *hub)
 {
 	struct peer *peer;
-	bool heard;
 
 	if (wv_string_equal(hub->name, peers->own_name))
 		return;
-	peer = peers_find_or_add(peers, now, hub->name);
-	if (slot < N_ATTACHMENTS)
-		peer->named_in[slot] = view;
-	heard = peer->heard_at == peer->last_seen && peer_is_alive(peer, now);
-	if (heard)
-		return;
-	if (peer->address.length == 0 || !is_stale(peer, hub)) {
+	peer = find_or_add(peers, now, hub->name);
+	/* A new process looks older if the clock of its VM was set back. */
+	if (!is_stale(peer, hub) || !peer_is_alive(peer, now)) {
 		copy_state(peer, hub);
-		peer->asked_at = WV_MSEC_NEVER;
+		peer->is_leaf = false;
 	}
 	if (slot < N_ATTACHMENTS) {
-		peer->is_leaf = false;
+		peer->named_in[slot] = view;
 		mark_told(peer, now);
+	} else if (!peer_is_alive(peer, now)) {
+		peer->asked_at = WV_MSEC_NEVER;
+		peer->was_hub = false;
 	}
 }
 
--- a/src/peers_private.h
+++ b/src/peers_private.h
@@ -71,13 +71,6 @@
 /** Returns whether a VM has been heard of recently. */
 bool peer_is_alive(const struct peer *peer, wv_msec now);
 
-/** Returns the VM of a name; adds it if it is unknown. */
-struct peer *peers_find_or_add(
-    struct wv_peers *peers, wv_msec now, struct wv_string name);
-
-/** Sets an owned string to a copy of the value. */
-void peer_replace_string(struct wv_string *string, struct wv_string value);
-
 /**
  * Returns whether this VM prefers a to b when it attaches to a hub or reads
  * from a VM. Different VMs prefer different ones.
--- a/test/peer_fleet.h
+++ b/test/peer_fleet.h
@@ -25,6 +25,7 @@
 	uint64_t incarnation;
 	uint64_t sequence;
 	uint64_t revision; /* of the routes that it knows */
+	bool leaving;
 	bool store_failed;
 	bool is_cut; /* its datagrams are lost, in both directions */
 	wv_msec next_round;
@@ -54,6 +55,7 @@
 	    .zone = wv_string_borrow(vm->zone),
 	    .serving = true,
 	    .capacity = vm->capacity,
+	    .leaving = vm->leaving,
 	    .store_failed = vm->store_failed,
 	    .revisions = {[WV_PEER_ROUTES] = vm->revision},
 	    .is_leaf = !wv_peers_is_hub(vm->peers),
--- a/test/test_peers_fleet.c
+++ b/test/test_peers_fleet.c
@@ -22,6 +22,11 @@
 #define MAX_LEAF_SENT_PER_S 5
 /** A round of the hubs and the delay of one more event, ms. */
 #define NEWS_TIME 300
+/**
+ * Time in which all VMs must know that a VM is leaving, ms: a round of that
+ * hub, one of the others, and one that may be late.
+ */
+#define LEAVING_TIME 750
 /** VMs that watch the store. */
 #define N_WATCHERS 3
 
@@ -222,6 +227,22 @@
 	fleet_destroy(fleet);
 }
 
+/* Callers must not be sent to a VM that is about to stop. */
+static void
+test_leaving_hub(void)
+{
+	struct fleet *fleet = fleet_create(295, 18, 6, 0);
+	unsigned naming = 0;
+
+	fleet_run(fleet, SETTLE_TIME);
+	fleet->vms[3].leaving = true;
+	fleet_run(fleet, LEAVING_TIME);
+	for (size_t i = 0; i < 295; i++)
+		naming += i != 3 && fleet_names(fleet, i, 3);
+	g_assert_cmpuint(naming, ==, 0);
+	fleet_destroy(fleet);
+}
+
 static unsigned
 count_watchers(const struct fleet *fleet)
 {
@@ -307,6 +328,7 @@
 	g_test_add_func("/peers-fleet/cut-hub-returns", test_cut_hub_returns);
 	g_test_add_func(
 	    "/peers-fleet/start-without-list", test_start_without_list);
+	g_test_add_func("/peers-fleet/leaving-hub", test_leaving_hub);
 	g_test_add_func("/peers-fleet/watchers-bounded", test_watchers_bounded);
 	g_test_add_func(
 	    "/peers-fleet/news-reach-leaves", test_news_reach_leaves);
