--- a/test/test_entry_endless.c
+++ b/test/test_entry_endless.c
@@ -189,6 +189,84 @@
 	}
 }
 
+/* A caller's connection on which bytes are sent as long as it is open. */
+struct flood {
+	struct event *event;
+	const char *repeat;
+	bool closed;
+	char answer[16]; /* the beginning of what the VM sent */
+};
+
+static void
+flood_on_event(evutil_socket_t fd, short what, void *data)
+{
+	struct flood *flood = data;
+	char bytes[256];
+	ssize_t n;
+
+	if ((what & EV_READ) != 0) {
+		n = recv(fd, bytes, sizeof(bytes) - 1, MSG_DONTWAIT);
+		if (n <= 0 && errno != EAGAIN) {
+			flood->closed = true;
+			event_del(flood->event);
+			return;
+		}
+		if (n > 0 && flood->answer[0] == '\0') {
+			bytes[n] = '\0';
+			g_strlcpy(flood->answer, bytes, sizeof(flood->answer));
+		}
+	}
+	n = send(fd, flood->repeat, strlen(flood->repeat),
+	    MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (n < 0 && errno != EAGAIN) {
+		flood->closed = true;
+		event_del(flood->event);
+	}
+}
+
+/* A caller sends a head or a body without end: it is refused and cut off. */
+static void
+test_caller(void)
+{
+	static const struct {
+		const char *begin;
+		const char *repeat;
+		const char *answer;
+	} cases[] = {
+	    {"GET / HTTP/1.1\r\n", "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+		"HTTP/1.1 431"},
+	    {"", "no request ", "HTTP/1.1 400"},
+	    {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+	     "\r\n\r\n",
+		"10\r\naaaaaaaaaaaaaaaa\r\n", "HTTP/1.1 413"},
+	};
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct flood flood = {.repeat = cases[i].repeat};
+		int fd = socket_connect(vm->callers);
+
+		g_assert_cmpint(fd, >=, 0);
+		run_for(fixture, CHECK_INTERVAL);
+		send(fd, cases[i].begin, strlen(cases[i].begin), MSG_NOSIGNAL);
+		flood.event = event_new(fixture->base, fd,
+		    EV_READ | EV_WRITE | EV_PERSIST, flood_on_event, &flood);
+		event_add(flood.event, NULL);
+		run_for(fixture, MAX_ANSWER_TIME);
+		g_assert_true(flood.closed);
+		g_assert_true(g_str_has_prefix(flood.answer, cases[i].answer));
+		event_free(flood.event);
+		close(fd);
+	}
+	g_assert_cmpuint(peak_memory(vm), <=, MAX_MEMORY_KB);
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,5 +275,6 @@
 	g_test_add_func("/entry-endless/searcher", test_searcher);
 	g_test_add_func("/entry-endless/all-searchers", test_all_searchers);
 	g_test_add_func("/entry-endless/store", test_store);
+	g_test_add_func("/entry-endless/caller", test_caller);
 	return g_test_run();
 }
