--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -158,7 +158,7 @@
 uint64_t store_put(
     struct store *store, const char *kind, const char *name, const char *spec);
 void store_remove(struct store *store, const char *kind, const char *name);
-/** Forgets all history. */
+/** Forgets all history and ends the watches that wait. */
 void store_compact(struct store *store);
 
 /** Starts a searcher and registers it; it then sends its heartbeats. */
--- a/review/harness/store.c
+++ b/review/harness/store.c
@@ -284,14 +284,8 @@
 	GList *all = g_list_copy(store->waiting.head);
 
 	store->history_from = store->revision;
-	for (GList *item = all; item != NULL; item = item->next) {
-		struct call *call = item->data;
-		struct server_conn *conn = call->conn;
-
-		server_conn_set_context(conn, NULL);
-		call_destroy(call);
-		server_close_unanswered(conn);
-	}
+	for (GList *item = all; item != NULL; item = item->next)
+		answer_nothing(item->data);
 	g_list_free(all);
 }
 
