--- a/review/harness/harness.c
+++ b/review/harness/harness.c
@@ -583,7 +583,6 @@
 		return client_create(
 		    vm->harness->base, vm->callers, &single_ops, request);
 	vm->request = request;
-	request->on_kept = true;
 	if (vm->client == NULL)
 		vm->client = client_create(
 		    vm->harness->base, vm->callers, &kept_ops, vm);
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -111,7 +111,6 @@
 	char *path;
 	wv_msec sent_at;
 	unsigned status; /**< 0: the connection ended */
-	bool on_kept; /**< on the VM's kept connection */
 	/** Called with the answer; the request is freed afterwards. */
 	void (*answered)(struct request *request, const struct message *answer);
 	struct client *client;
@@ -176,9 +175,11 @@
 void check_vms(struct harness *harness);
 
 /**
- * Sends a request as a client does, on the kept connection if it is free.
+ * Sends a request as a client does, on the kept connection if it is free, else
+ * on one of its own.
  *
- * @param fields  further header fields, each with CR LF
+ * @param body      NULL: none
+ * @param answered  called with the answer; NULL: not
  */
 struct request *request_send(struct vm *vm, const char *method,
     const char *path, unsigned deadline_ms, const char *body,
