--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,11 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 program=review/target/case-$(basename "$here")
-[ -x "$program" ] || exit 2
+for needed in "$program" target/wisteriavane-entry; do
+	[ -x "$needed" ] && continue
+	echo "not run: $needed is not built" >"$here/record.txt"
+	exit 2
+done
 RECORD=$here/record.txt timeout 118 "$program"
 result=$?
 [ "$result" -le 1 ] || result=2
