--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -139,17 +139,35 @@
 	    outage);
 }
 
-/* Ends a failed call and schedules the next one. */
+/* Logs which call of another VM failed, and how. */
 static void
-fail_call(struct follower *follower, const char *why, bool timed_out)
+log_peer_failure(
+    const struct follower *follower, const char *why, unsigned status)
+{
+	bool list = follower->phase == PHASE_LIST;
+
+	log_line(follower->sync->entry->log, LOG_CHANGE, "peer_call_failed",
+	    "\"kind\":\"%s\",\"call\":\"%s\",\"after\":\"%s\","
+	    "\"from\":\"%s\",\"status\":%u,\"why\":\"%s\"",
+	    store_kind_name(follower->kind), list ? "list" : "changes",
+	    list && follower->list_after != NULL ? follower->list_after : "",
+	    follower->address, status, why);
+}
+
+/*
+ * Ends a failed call and schedules the next one.
+ *
+ * status: of the answer; 0 if there was none
+ */
+static void
+fail_call(
+    struct follower *follower, const char *why, unsigned status, bool timed_out)
 {
 	store_close_client(follower);
 	if (!follower->from_peer)
 		record_failure(follower, why, timed_out);
 	else
-		log_line(follower->sync->entry->log, LOG_CHANGE,
-		    "peer_call_failed", "\"kind\":\"%s\",\"why\":\"%s\"",
-		    store_kind_name(follower->kind), why);
+		log_peer_failure(follower, why, status);
 	store_set_timer(follower, follower->backoff);
 	follower->backoff = fmin(follower->backoff * 2, MAX_BACKOFF);
 }
@@ -218,13 +236,14 @@
 {
 	struct follower *follower = data;
 	bool was_following = follower->phase == PHASE_FOLLOW;
+	unsigned status = answer->status;
 	bool valid;
 
 	follower->calling = false;
 	valid = handle_answer(follower, answer);
 	message_destroy(answer);
 	if (!valid) {
-		fail_call(follower, "refused or unreadable", false);
+		fail_call(follower, "refused or unreadable", status, false);
 		return true;
 	}
 	follower->backoff = MIN_BACKOFF;
@@ -246,7 +265,7 @@
 		fail_call(follower,
 		    end == CLIENT_REFUSED ? "no connection"
 					  : "connection ended",
-		    false);
+		    0, false);
 	else
 		store_close_client(follower);
 }
@@ -308,7 +327,7 @@
 	(void)fd;
 	(void)what;
 	if (follower->calling)
-		fail_call(follower, "no answer in time", true);
+		fail_call(follower, "no answer in time", 0, true);
 	else
 		store_make_next_call(follower);
 }
