--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -147,10 +147,9 @@
 	bool list = follower->phase == PHASE_LIST;
 
 	log_line(follower->sync->entry->log, LOG_CHANGE, "peer_call_failed",
-	    "\"kind\":\"%s\",\"call\":\"%s\",\"after\":\"%s\","
-	    "\"from\":\"%s\",\"status\":%u,\"why\":\"%s\"",
+	    "\"kind\":\"%s\",\"call\":\"%s\",\"from\":\"%s\","
+	    "\"status\":%u,\"why\":\"%s\"",
 	    store_kind_name(follower->kind), list ? "list" : "changes",
-	    list && follower->list_after != NULL ? follower->list_after : "",
 	    follower->address, status, why);
 }
 
@@ -313,6 +312,9 @@
 		return;
 	}
 	follower->from_peer = peer[0] != '\0';
+	/* Other VMs give a list as one page: there is none after the first. */
+	if (follower->from_peer && follower->phase == PHASE_LIST)
+		store_restart_list(follower);
 	if (follower->from_peer)
 		send_call(follower, peer);
 	else if (follower->phase != PHASE_FOLLOW || sync->watching)
--- /dev/null
+++ b/test/test_entry_lists.c
@@ -0,0 +1,101 @@
+/**
+ * @file
+ * Tests of entry servers that read lists of several pages and can't finish
+ * them where they began.
+ */
+#include "test/entry_fixture.h"
+
+/** Objects in a page of a list; there are three times as many searchers. */
+#define PAGE_SIZE 2
+/** Time within which a VM must apply a change, ms. */
+#define MAX_CHANGE_TIME 3000
+/** Longest delay of a log line, since lines are collected, ms. */
+#define LOG_DELAY 300
+/** Time in which a VM tries to read a list that it can't finish, ms. */
+#define INTERRUPTION_TIME 1500
+
+/* Starts the store, with lists of several pages, and VMs that watch it. */
+static struct fixture *
+start_watchers(unsigned n)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+
+	open_store(fixture);
+	standin_store_set_page_size(fixture->store, PAGE_SIZE);
+	for (unsigned i = 0; i < n; i++)
+		start_vm(fixture);
+	g_assert_true(wait_all_listed(fixture));
+	for (unsigned i = 0; i < n; i++)
+		g_assert_true(wait_logged(
+		    fixture, &fixture->vms[i], "\"store_watching\""));
+	return fixture;
+}
+
+/*
+ * Makes all VMs read the list of searchers again, and VM 0 fail at its second
+ * page.
+ */
+static void
+interrupt_list(struct fixture *fixture)
+{
+	standin_store_reject_pages(
+	    fixture->store, proxy_address(fixture->vms[0].store));
+	/* The searchers' watches are behind the change of the routes. */
+	write_routes(fixture, 2);
+	standin_store_discard_history(fixture->store);
+}
+
+/*
+ * Reports a searcher as draining; returns whether the first n VMs apply it in
+ * time.
+ */
+static bool
+drain_is_applied(
+    struct fixture *fixture, unsigned n, unsigned service, unsigned replica)
+{
+	const char *address =
+	    standin_searchers_address(fixture->searchers, service, replica);
+	char *id = standin_searcher_id(service, replica);
+	char *name = g_strdup_printf("s%u", service);
+	char *text = g_strdup_printf("\"searcher\":\"%s\",\"service\":\"%s\","
+				     "\"address\":\"%s\",\"draining\":true",
+	    id, name, address);
+	bool applied = true;
+
+	standin_store_write(fixture->store, STANDIN_KIND_SEARCHERS, id,
+	    standin_searcher_spec(name, address, 1, true));
+	run_for(fixture, MAX_CHANGE_TIME + LOG_DELAY);
+	for (unsigned i = 0; i < n; i++)
+		applied = applied && has_logged(&fixture->vms[i], text);
+	g_free(text);
+	g_free(name);
+	g_free(id);
+	return applied;
+}
+
+/*
+ * If the store fails in the middle of a list, the VM reads the list from
+ * another VM, and later follows the store again. It must not ask the VM for
+ * the next page of the store's list, which VMs don't have, over and over.
+ */
+static void
+test_interrupted(void)
+{
+	struct fixture *fixture = start_watchers(2);
+
+	interrupt_list(fixture);
+	run_for(fixture, INTERRUPTION_TIME);
+	g_assert_true(drain_is_applied(fixture, 2, 0, 1));
+	standin_store_reject_pages(fixture->store, NULL);
+	g_assert_true(drain_is_applied(fixture, 2, 1, 1));
+	fixture_destroy(fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	g_test_add_func("/entry-lists/interrupted", test_interrupted);
+	return g_test_run();
+}
