--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -139,10 +139,12 @@
 	    outage);
 }
 
-/* Logs which call of another VM failed, and how. */
+/*
+ * Records a failed call of another VM. A list that it did not give is read from
+ * the store again.
+ */
 static void
-log_peer_failure(
-    const struct follower *follower, const char *why, unsigned status)
+record_peer_failure(struct follower *follower, const char *why, unsigned status)
 {
 	bool list = follower->phase == PHASE_LIST;
 
@@ -151,6 +153,8 @@
 	    "\"status\":%u,\"why\":\"%s\"",
 	    store_kind_name(follower->kind), list ? "list" : "changes",
 	    follower->address, status, why);
+	if (list)
+		follower->failures = 0;
 }
 
 /*
@@ -163,10 +167,10 @@
     struct follower *follower, const char *why, unsigned status, bool timed_out)
 {
 	store_close_client(follower);
-	if (!follower->from_peer)
-		record_failure(follower, why, timed_out);
+	if (follower->from_peer)
+		record_peer_failure(follower, why, status);
 	else
-		log_peer_failure(follower, why, status);
+		record_failure(follower, why, timed_out);
 	store_set_timer(follower, follower->backoff);
 	follower->backoff = fmin(follower->backoff * 2, MAX_BACKOFF);
 }
@@ -193,12 +197,7 @@
 {
 	if (store_is_write(follower))
 		return handle_write_answer(follower, answer->status);
-	if (answer->status == 410 && follower->phase == PHASE_LIST) {
-		/* The other VM has no list itself: try the store again. */
-		follower->failures = 0;
-		return false;
-	}
-	if (answer->status == 410) {
+	if (answer->status == 410 && follower->phase == PHASE_FOLLOW) {
 		store_restart_list(follower);
 		/* Read the list from a VM too: one that is ahead has it. */
 		if (follower->from_peer)
--- a/test/test_entry_lists.c
+++ b/test/test_entry_lists.c
@@ -3,6 +3,11 @@
  * Tests of entry servers that read lists of several pages and can't finish
  * them where they began.
  */
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proto/vm_report.pb-c.h"
 #include "test/entry_fixture.h"
 
 /** Objects in a page of a list; there are three times as many searchers. */
@@ -13,6 +18,10 @@
 #define LOG_DELAY 300
 /** Time in which a VM tries to read a list that it can't finish, ms. */
 #define INTERRUPTION_TIME 1500
+/** Interval between reports of a VM that does not exist, ms. */
+#define REPORT_INTERVAL 300
+/** Index of the peers' port among the ports of a VM. */
+#define PEERS_PORT 3
 
 /* Starts the store, with lists of several pages, and VMs that watch it. */
 static struct fixture *
@@ -91,11 +100,93 @@
 	fixture_destroy(fixture);
 }
 
+/* A VM that reports newer data than all others, but answers no calls. */
+struct deaf_vm {
+	struct event *timer; /* of the next report */
+	struct sockaddr_in receiver;
+	uint64_t sequence;
+	int fd;
+};
+
+static void
+send_report(evutil_socket_t fd, short what, void *data)
+{
+	struct deaf_vm *vm = data;
+	VmReport report = VM_REPORT__INIT;
+	uint8_t buffer[256];
+	size_t length;
+
+	(void)fd;
+	(void)what;
+	report.protocol = 1;
+	report.name = "deaf";
+	report.incarnation = 1;
+	report.sequence = ++vm->sequence;
+	/* Nothing listens there. */
+	report.peers = "127.0.0.1:1";
+	report.callers = "127.0.0.1:1";
+	report.zone = "z0";
+	report.serving = true;
+	report.routes_revision = INT64_MAX;
+	report.searchers_revision = INT64_MAX;
+	g_assert_cmpuint(
+	    vm_report__get_packed_size(&report), <=, sizeof(buffer));
+	length = vm_report__pack(&report, buffer);
+	g_assert_cmpint(
+	    sendto(vm->fd, buffer, length, 0, (struct sockaddr *)&vm->receiver,
+		sizeof(vm->receiver)),
+	    ==, (ssize_t)length);
+}
+
+/* Begins to send reports to VM 0. */
+static void
+deaf_vm_start(struct deaf_vm *vm, struct fixture *fixture)
+{
+	unsigned int port =
+	    fixture->ports[1 + N_SERVICES * N_REPLICAS + PEERS_PORT];
+	struct timeval interval = socket_timeval(REPORT_INTERVAL);
+
+	vm->receiver.sin_family = AF_INET;
+	vm->receiver.sin_port = htons((uint16_t)port);
+	vm->receiver.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	vm->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	vm->timer = event_new(fixture->base, -1, EV_PERSIST, send_report, vm);
+	event_add(vm->timer, &interval);
+}
+
+static void
+deaf_vm_stop(struct deaf_vm *vm)
+{
+	event_free(vm->timer);
+	close(vm->fd);
+}
+
+/*
+ * If another VM does not give the list, the VM reads it from the store as soon
+ * as that works again, though the other VM reports newer data all the while.
+ */
+static void
+test_deaf_vm(void)
+{
+	struct fixture *fixture = start_watchers(1);
+	struct deaf_vm deaf = {0};
+
+	deaf_vm_start(&deaf, fixture);
+	interrupt_list(fixture);
+	run_for(fixture, INTERRUPTION_TIME);
+	g_assert_true(has_logged(&fixture->vms[0], "\"peer_call_failed\""));
+	standin_store_reject_pages(fixture->store, NULL);
+	g_assert_true(drain_is_applied(fixture, 1, 0, 1));
+	deaf_vm_stop(&deaf);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-lists/interrupted", test_interrupted);
+	g_test_add_func("/entry-lists/deaf-vm", test_deaf_vm);
 	return g_test_run();
 }
