--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -146,9 +146,14 @@
 static void
 record_peer_failure(struct follower *follower, const char *why, unsigned status)
 {
+	struct entry *entry = follower->sync->entry;
 	bool list = follower->phase == PHASE_LIST;
 
-	log_line(follower->sync->entry->log, LOG_CHANGE, "peer_call_failed",
+	/* A VM that has no list yet (410) may be the next to have it. */
+	if (status != 410)
+		wv_peers_record_failed_call(entry->peers, entry_now(entry),
+		    wv_string_borrow(follower->address));
+	log_line(entry->log, LOG_CHANGE, "peer_call_failed",
 	    "\"kind\":\"%s\",\"call\":\"%s\",\"from\":\"%s\","
 	    "\"status\":%u,\"why\":\"%s\"",
 	    store_kind_name(follower->kind), list ? "list" : "changes",
--- a/src/peers.c
+++ b/src/peers.c
@@ -29,6 +29,8 @@
 #define MIN_NEAR_RATIO 0.4
 /** Fraction of divided limits that the preferred VMs get together. */
 #define PREFERRED_QUOTA 0.7
+/** Time for which a VM that failed a call comes after the others, ms. */
+#define CALL_FAILURE_PERIOD 3000.0
 /** VMs that watch the store; the others receive changes from them. */
 #define MAX_WATCHERS 3
 
@@ -102,6 +104,7 @@
 	peer->heard_at = -WV_MSEC_NEVER;
 	peer->asked_at = WV_MSEC_NEVER;
 	peer->attached_at = -WV_MSEC_NEVER;
+	peer->call_failed_at = -WV_MSEC_NEVER;
 	peer->hubs_sent_at = -WV_MSEC_NEVER;
 	g_hash_table_insert(peers->table, &peer->name, peer);
 	return peer;
@@ -528,6 +531,44 @@
 	return preference(peers, a) < preference(peers, b);
 }
 
+void
+wv_peers_record_failed_call(
+    struct wv_peers *peers, wv_msec now, struct wv_string address)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		if (wv_string_equal(peer->address, address))
+			peer->call_failed_at = now;
+	}
+}
+
+/* Returns when a call of a peer failed, or -WV_MSEC_NEVER if not lately. */
+static wv_msec
+last_failed_call(const struct peer *peer, wv_msec now)
+{
+	return now - peer->call_failed_at < CALL_FAILURE_PERIOD
+	    ? peer->call_failed_at
+	    : -WV_MSEC_NEVER;
+}
+
+/* Whether data is read from a rather than from b. */
+static bool
+is_better_source(const struct wv_peers *peers, wv_msec now,
+    const struct peer *a, const struct peer *b)
+{
+	wv_msec a_failed = last_failed_call(a, now);
+	wv_msec b_failed = last_failed_call(b, now);
+
+	if (a_failed != b_failed)
+		return a_failed < b_failed;
+	return peers_is_preferred(peers, a, b, true);
+}
+
 struct wv_string
 wv_peers_find_ahead(const struct wv_peers *peers, wv_msec now,
     enum wv_peer_data state, uint64_t revision)
@@ -546,7 +587,7 @@
 
 		if (!ahead || !peer_is_alive(peer, now))
 			continue;
-		if (best == NULL || peers_is_preferred(peers, peer, best, true))
+		if (best == NULL || is_better_source(peers, now, peer, best))
 			best = peer;
 	}
 	return best == NULL ? none : best->address;
--- a/src/peers_private.h
+++ b/src/peers_private.h
@@ -37,6 +37,8 @@
 	wv_msec asked_at; /**< first report sent to it since it was last seen,
 			       WV_MSEC_NEVER: none */
 	wv_msec attached_at; /**< its last report with attach set */
+	wv_msec call_failed_at; /**< last failed call of it; -WV_MSEC_NEVER:
+				     none */
 	wv_msec hubs_sent_at; /**< last report to it with all hubs */
 	uint64_t view_sent; /**< this VM's view in that report */
 	/** This VM's revisions in the last report to it */
--- a/test/test_entry_lists.c
+++ b/test/test_entry_lists.c
@@ -20,6 +20,10 @@
 #define INTERRUPTION_TIME 1500
 /** Interval between reports of a VM that does not exist, ms. */
 #define REPORT_INTERVAL 300
+/** Capacity of a VM that does not exist, cores: more than a real one has. */
+#define DEAF_CAPACITY 1000
+/** VMs that watch the store directly. */
+#define N_WATCHERS 3
 /** Index of the peers' port among the ports of a VM. */
 #define PEERS_PORT 3
 
@@ -102,12 +106,28 @@
 
 /* A VM that reports newer data than all others, but answers no calls. */
 struct deaf_vm {
+	const struct fixture *fixture;
+	const char *name;
 	struct event *timer; /* of the next report */
-	struct sockaddr_in receiver;
 	uint64_t sequence;
 	int fd;
 };
 
+/* Sends a packed report to the real VM i. */
+static void
+send_to(const struct deaf_vm *vm, unsigned i, const uint8_t *report, size_t n)
+{
+	unsigned int port = vm->fixture->ports[1 + N_SERVICES * N_REPLICAS +
+	    (size_t)i * VM_PORTS + PEERS_PORT];
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+
+	g_assert_cmpint(sendto(vm->fd, report, n, 0,
+			    (struct sockaddr *)&address, sizeof(address)),
+	    ==, (ssize_t)n);
+}
+
 static void
 send_report(evutil_socket_t fd, short what, void *data)
 {
@@ -119,39 +139,37 @@
 	(void)fd;
 	(void)what;
 	report.protocol = 1;
-	report.name = "deaf";
+	report.name = (char *)vm->name;
 	report.incarnation = 1;
 	report.sequence = ++vm->sequence;
 	/* Nothing listens there. */
 	report.peers = "127.0.0.1:1";
 	report.callers = "127.0.0.1:1";
-	report.zone = "z0";
+	report.zone = "z1";
 	report.serving = true;
+	report.capacity = DEAF_CAPACITY;
 	report.routes_revision = INT64_MAX;
 	report.searchers_revision = INT64_MAX;
 	g_assert_cmpuint(
 	    vm_report__get_packed_size(&report), <=, sizeof(buffer));
 	length = vm_report__pack(&report, buffer);
-	g_assert_cmpint(
-	    sendto(vm->fd, buffer, length, 0, (struct sockaddr *)&vm->receiver,
-		sizeof(vm->receiver)),
-	    ==, (ssize_t)length);
+	for (unsigned i = 0; i < vm->fixture->n_vms; i++)
+		send_to(vm, i, buffer, length);
 }
 
-/* Begins to send reports to VM 0. */
+/* Begins to send reports to all real VMs. */
 static void
-deaf_vm_start(struct deaf_vm *vm, struct fixture *fixture)
+deaf_vm_start(
+    struct deaf_vm *vm, const struct fixture *fixture, const char *name)
 {
-	unsigned int port =
-	    fixture->ports[1 + N_SERVICES * N_REPLICAS + PEERS_PORT];
 	struct timeval interval = socket_timeval(REPORT_INTERVAL);
 
-	vm->receiver.sin_family = AF_INET;
-	vm->receiver.sin_port = htons((uint16_t)port);
-	vm->receiver.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	vm->fixture = fixture;
+	vm->name = name;
 	vm->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 	vm->timer = event_new(fixture->base, -1, EV_PERSIST, send_report, vm);
 	event_add(vm->timer, &interval);
+	send_report(-1, 0, vm);
 }
 
 static void
@@ -171,7 +189,7 @@
 	struct fixture *fixture = start_watchers(1);
 	struct deaf_vm deaf = {0};
 
-	deaf_vm_start(&deaf, fixture);
+	deaf_vm_start(&deaf, fixture, "deaf");
 	interrupt_list(fixture);
 	run_for(fixture, INTERRUPTION_TIME);
 	g_assert_true(has_logged(&fixture->vms[0], "\"peer_call_failed\""));
@@ -181,6 +199,47 @@
 	fixture_destroy(fixture);
 }
 
+/* Waits until exactly n VMs have not logged that they ceased to watch. */
+static bool
+wait_watching(struct fixture *fixture, unsigned n)
+{
+	for (int i = 0; i < EVENT_TIMEOUT / CHECK_INTERVAL; i++) {
+		unsigned watching = 0;
+
+		for (unsigned k = 0; k < fixture->n_vms; k++)
+			watching +=
+			    !has_logged(&fixture->vms[k], "\"watching\":false");
+		if (watching == n)
+			return true;
+		run_for(fixture, CHECK_INTERVAL);
+	}
+	return false;
+}
+
+/*
+ * A VM that does not watch the store reads changes from another one, if the
+ * first one that it chooses answers no calls but reports newer data all the
+ * while. The names decide which one that is.
+ */
+static void
+test_deaf_source(void)
+{
+	static const char *const names[N_WATCHERS - 1] = {"deaf-1", "deaf-2"};
+	struct fixture *fixture = start_watchers(N_WATCHERS);
+	struct deaf_vm deaf[N_WATCHERS - 1] = {0};
+
+	/* They count as watchers, so only one of the real VMs watches. */
+	for (unsigned i = 0; i < N_WATCHERS - 1; i++)
+		deaf_vm_start(&deaf[i], fixture, names[i]);
+	g_assert_true(wait_watching(fixture, 1));
+	/* The last call of the store by which it watched ends meanwhile. */
+	run_for(fixture, INTERRUPTION_TIME);
+	g_assert_true(drain_is_applied(fixture, N_WATCHERS, 0, 1));
+	for (unsigned i = 0; i < N_WATCHERS - 1; i++)
+		deaf_vm_stop(&deaf[i]);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -188,5 +247,6 @@
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-lists/interrupted", test_interrupted);
 	g_test_add_func("/entry-lists/deaf-vm", test_deaf_vm);
+	g_test_add_func("/entry-lists/deaf-source", test_deaf_source);
 	return g_test_run();
 }
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -337,6 +337,48 @@
 	wv_peers_destroy(peers);
 }
 
+/* Applies a report of a VM that has revision 4 of the routes. */
+static void
+report_routes(
+    struct wv_peers *peers, wv_msec now, const char *name, const char *address)
+{
+	struct wv_peer_report report = make_report(name, 1 + (uint64_t)now);
+
+	report.peer_address = wv_string_borrow(address);
+	report.revisions[WV_PEER_ROUTES] = 4;
+	wv_peers_apply_report(peers, now, &report);
+}
+
+/*
+ * After a failed call, data is read from another VM, for as long as the failure
+ * is recent; if calls of all have failed, from the one that failed first.
+ */
+static void
+test_failed_call(void)
+{
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
+	struct wv_string first, second;
+
+	report_routes(peers, 0, "a", "127.0.0.1:1");
+	report_routes(peers, 0, "b", "127.0.0.1:2");
+	first = wv_peers_find_ahead(peers, 0, WV_PEER_ROUTES, 3);
+	wv_peers_record_failed_call(peers, 0, first);
+	second = wv_peers_find_ahead(peers, 0, WV_PEER_ROUTES, 3);
+	g_assert_cmpstr(second.data, !=, first.data);
+	wv_peers_record_failed_call(peers, 100, second);
+	g_assert_cmpstr(wv_peers_find_ahead(peers, 200, WV_PEER_ROUTES, 3).data,
+	    ==, first.data);
+	wv_peers_record_failed_call(peers, 200, first);
+	g_assert_cmpstr(wv_peers_find_ahead(peers, 300, WV_PEER_ROUTES, 3).data,
+	    ==, second.data);
+	report_routes(peers, 5000, "a", "127.0.0.1:1");
+	report_routes(peers, 5000, "b", "127.0.0.1:2");
+	g_assert_cmpstr(
+	    wv_peers_find_ahead(peers, 5000, WV_PEER_ROUTES, 3).data, ==,
+	    first.data);
+	wv_peers_destroy(peers);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -344,6 +386,7 @@
 	g_test_add_func("/peers/alive", test_alive);
 	g_test_add_func("/peers/leaving", test_leaving);
 	g_test_add_func("/peers/clock-back", test_clock_set_back);
+	g_test_add_func("/peers/failed-call", test_failed_call);
 	g_test_add_func("/peers/preferred", test_preferred);
 	g_test_add_func("/peers/caller-zones", test_caller_zones);
 	g_test_add_func("/peers/main-zones", test_main_zones);
--- a/wisteriavane/peers.h
+++ b/wisteriavane/peers.h
@@ -178,6 +178,15 @@
 /** Returns the number of other hubs that are alive. */
 unsigned wv_peers_count_live_hubs(const struct wv_peers *peers, wv_msec now);
 
+/**
+ * Records that a call of a VM failed. For some seconds the VM is only chosen if
+ * there is no other, or if calls of the others failed later.
+ *
+ * @param address  its datagram address
+ */
+void wv_peers_record_failed_call(
+    struct wv_peers *peers, wv_msec now, struct wv_string address);
+
 /**
  * Returns the datagram address of a live VM with changes after a revision, or
  * an empty string. For revision 0, any hub qualifies. The string is
