--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "entry/searcher_answer.h"
 #include "entry/socket.h"
 #include "entry/upstream.h"
 #include "wisteriavane/merge.h"
@@ -475,10 +476,30 @@
 	    task->extra);
 }
 
+/*
+ * Returns the result to answer with. A searcher's answer that is relayed does
+ * not prove that the request did not run, so it must not reach the caller with
+ * a status that promises this.
+ */
+static struct wv_result
+remove_false_promise(const struct wv_result *result)
+{
+	struct wv_result failed = {
+	    .kind = WV_RESULT_FAILED, .reason = WV_REASON_SEARCHER_FAILED};
+	struct message *answer = result->message;
+
+	if (result->kind != WV_RESULT_RELAY ||
+	    !status_promises_not_run(answer->status))
+		return *result;
+	message_destroy(answer);
+	return failed;
+}
+
 static void
 answer_call(struct wv_dispatch_ops *ops, struct wv_task *task,
-    const struct wv_result *result)
+    const struct wv_result *dispatched)
 {
+	struct wv_result result = remove_false_promise(dispatched);
 	struct entry *entry = gateway_of(ops)->entry;
 	struct call *call = task->caller;
 	struct server_conn *conn = call->conn;
@@ -491,16 +512,16 @@
 	 * not find the context of this one.
 	 */
 	server_conn_set_context(conn, NULL);
-	if (result->kind == WV_RESULT_RELAY) {
-		status = relay_answer(conn, result->message);
+	if (result.kind == WV_RESULT_RELAY) {
+		status = relay_answer(conn, result.message);
 		count_answer(entry, task);
-	} else if (result->kind == WV_RESULT_PARTS) {
+	} else if (result.kind == WV_RESULT_PARTS) {
 		answer_merged(entry, conn, task);
 		count_answer(entry, task);
 	} else {
-		status = answer_failure(entry, conn, result);
+		status = answer_failure(entry, conn, &result);
 	}
-	log_answer(entry, call, task, status, result);
+	log_answer(entry, call, task, status, &result);
 	call_destroy(call);
 }
 
--- a/entry/platform_adapter.h
+++ b/entry/platform_adapter.h
@@ -55,6 +55,8 @@
 	const char *signature; /**< proves that the searcher itself
 				 answered */
 	const char *not_run; /**< present: the request did not run */
+	const char *answering_searcher; /**< identifier of the searcher that
+					  answered; may be missing */
 	const char *part_signatures; /**< signatures of all merged parts */
 	const char *missing_parts; /**< number of parts left out */
 
--- /dev/null
+++ b/entry/searcher_answer.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * What a searcher's answer proves about the run of a request.
+ */
+#ifndef WISTERIAVANE_ENTRY_SEARCHER_ANSWER_H
+#define WISTERIAVANE_ENTRY_SEARCHER_ANSWER_H
+
+#include "entry/message.h"
+#include "entry/platform_adapter.h"
+#include "wisteriavane/health.h"
+
+/**
+ * Returns how an attempt ended. Only WV_END_REJECTED and WV_END_WRONG_SEARCHER
+ * prove that the request did not run: the searcher says so, or another searcher
+ * than the expected one has answered.
+ *
+ * @param expected  identifier of the searcher that the request was sent to
+ */
+enum wv_attempt_end searcher_answer_classify(
+    const struct platform_adapter *adapter, const struct message *answer,
+    struct wv_string expected);
+
+/**
+ * Returns whether a status promises a caller that its request has not run and
+ * never will.
+ */
+bool status_promises_not_run(unsigned status);
+
+#endif
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -8,6 +8,7 @@
 #include <math.h>
 
 #include "entry/client.h"
+#include "entry/searcher_answer.h"
 #include "entry/socket.h"
 #include "entry/upstream.h"
 
@@ -110,19 +111,6 @@
 	g_queue_push_head(&get_pool(searcher)->idle, conn);
 }
 
-static enum wv_attempt_end
-classify_answer(
-    const struct platform_adapter *adapter, const struct message *answer)
-{
-	if (answer->status == 421)
-		return WV_END_WRONG_SEARCHER;
-	if (message_find_field(answer, adapter->not_run, NULL) > 0)
-		return WV_END_REJECTED;
-	if (message_find_field(answer, adapter->signature, NULL) != 1)
-		return WV_END_BROKEN;
-	return answer->status < 500 ? WV_END_ANSWERED : WV_END_FAILED;
-}
-
 /*
  * Returns whether an answer belongs to the request in progress: its identifier
  * is the request's, or it has none.
@@ -152,7 +140,8 @@
 		message_destroy(answer);
 		return false;
 	}
-	reply.end = classify_answer(entry->adapter, answer);
+	reply.end = searcher_answer_classify(
+	    entry->adapter, answer, attempt->searcher->id);
 	reply.success = answer->status >= 200 && answer->status < 300;
 	reply.message = answer;
 	if (reply.end == WV_END_BROKEN) {
--- a/test/test_entry_requests.c
+++ b/test/test_entry_requests.c
@@ -83,6 +83,54 @@
 	fixture_destroy(fixture);
 }
 
+/* Sets the mode of the searchers of orders. */
+static void
+set_order_mode(struct fixture *fixture, const char *mode)
+{
+	for (unsigned i = 0; i < N_REPLICAS; i++) {
+		char *id = standin_searcher_id(N_SERVICES - 1, i);
+
+		g_assert_true(
+		    standin_searchers_set_mode(fixture->searchers, id, mode));
+		g_free(id);
+	}
+}
+
+/*
+ * An order that has run and was failed by its searcher must not be answered
+ * with a status that promises that it has not run: the caller would place it
+ * again.
+ */
+static void
+test_failed_after_run(void)
+{
+	static const unsigned statuses[] = {408, 421, 429, 503};
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		char *mode = g_strdup_printf("fail-%u", statuses[i]);
+		char *id = g_strdup_printf("order-%u", statuses[i]);
+		char *order = compose_order(id);
+		GString *body = g_string_new(NULL);
+
+		set_order_mode(fixture, mode);
+		g_assert_cmpuint(
+		    exchange_bytes(fixture, vm->callers, order, body), ==, 502);
+		g_assert_cmpuint(
+		    standin_searchers_runs(fixture->searchers, id), ==, 1);
+		g_string_free(body, TRUE);
+		g_free(order);
+		g_free(id);
+		g_free(mode);
+	}
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -92,5 +140,7 @@
 	    "/entry-requests/malformed-requests", test_malformed_requests);
 	g_test_add_func("/entry-requests/refused-without-searchers",
 	    test_refused_without_searchers);
+	g_test_add_func(
+	    "/entry-requests/failed-after-run", test_failed_after_run);
 	return g_test_run();
 }
