--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -112,18 +112,17 @@
 }
 
 /*
- * Returns whether an answer belongs to the request in progress: its identifier
- * is the request's, or it has none.
+ * Returns whether an answer belongs to the request in progress: it has the same
+ * identifier. One without an identifier belongs only to a request without one.
  */
 static bool
 answers_request(const struct connection *conn, const struct message *answer)
 {
-	struct wv_string id;
+	struct wv_string id = {"", 0};
 
-	if (message_find_field(answer, conn->entry->adapter->request_id, &id) ==
-	    0)
-		return true;
-	return wv_string_equal(id, wv_string_borrow(conn->id));
+	return message_find_field(
+		   answer, conn->entry->adapter->request_id, &id) <= 1 &&
+	    wv_string_equal(id, wv_string_borrow(conn->id));
 }
 
 static bool
--- a/test/test_entry_requests.c
+++ b/test/test_entry_requests.c
@@ -4,6 +4,9 @@
  */
 #include "test/entry_fixture.h"
 
+/** Orders that are sent to searchers that send stale answers. */
+#define N_STALE_ORDERS 100
+
 /* Invalid requests get their status and reach no searcher. */
 static void
 test_malformed_requests(void)
@@ -131,6 +134,44 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * A searcher sends answers to earlier requests and rejections, some without an
+ * identifier, before the answer. Each order must get its own answer: it must
+ * neither get another one's nor run again because of a rejection that belongs
+ * to no request.
+ */
+static void
+test_stale_answers(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	/* The seed is printed by the test framework. */
+	g_random_set_seed((guint32)g_test_rand_int());
+	set_order_mode(fixture, "stale");
+	for (unsigned i = 0; i < N_STALE_ORDERS; i++) {
+		char *id = g_strdup_printf("order-%u", i);
+		char *order = compose_order(id);
+		GString *right = standin_records(N_SERVICES - 1, id);
+		GString *body = g_string_new(NULL);
+
+		g_assert_cmpuint(
+		    exchange_bytes(fixture, vm->callers, order, body), ==, 200);
+		g_assert_true(g_string_equal(body, right));
+		g_assert_cmpuint(
+		    standin_searchers_runs(fixture->searchers, id), ==, 1);
+		g_string_free(body, TRUE);
+		g_string_free(right, TRUE);
+		g_free(order);
+		g_free(id);
+	}
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -142,5 +183,6 @@
 	    test_refused_without_searchers);
 	g_test_add_func(
 	    "/entry-requests/failed-after-run", test_failed_after_run);
+	g_test_add_func("/entry-requests/stale-answers", test_stale_answers);
 	return g_test_run();
 }
