--- a/src/peers_hubs.c
+++ b/src/peers_hubs.c
@@ -33,13 +33,28 @@
 /** Introductions per round until each VM had one, and afterwards. */
 #define FIRST_INTRODUCTIONS 8
 #define INTRODUCTIONS 1
+/**
+ * Rounds without a stronger hub after which a VM asks VMs that it never heard
+ * of, and how many it asks in the first such round; the number doubles.
+ */
+#define SEARCH_DELAY 2
+#define MIN_SEARCH 4
+/** Greatest number of times that it doubles. */
+#define MAX_SEARCH_DOUBLINGS 16
 /** Shortest time between two lists of all hubs to the same hub, ms. */
 #define HUB_LIST_INTERVAL 1000.0
 
+static bool
+is_searching(const struct wv_peers *peers)
+{
+	return peers->lonely_rounds > SEARCH_DELAY;
+}
+
 wv_msec
 wv_peers_report_interval(const struct wv_peers *peers)
 {
-	return peers->is_hub ? HUB_INTERVAL : LEAF_INTERVAL;
+	return peers->is_hub || is_searching(peers) ? HUB_INTERVAL
+						    : LEAF_INTERVAL;
 }
 
 bool
@@ -81,26 +96,47 @@
 	return hash < other_hash ? -1 : 1;
 }
 
+static bool
+is_live_hub(const struct peer *peer, wv_msec now)
+{
+	return !peer->is_leaf && peer_is_alive(peer, now);
+}
+
+static bool
+is_stronger(const struct wv_peers *peers, const struct peer *peer)
+{
+	return compare_strength(peer->capacity, peer->hash, peers->own_capacity,
+		   peers->own_hash) < 0;
+}
+
+/*
+ * Compares two candidates. Hubs that are alive come first: any number of the
+ * others may have been removed long ago.
+ */
 static gint
-compare_peers(gconstpointer a, gconstpointer b)
+compare_candidates(gconstpointer a, gconstpointer b, gpointer data)
 {
 	const struct peer *first = *(struct peer *const *)a;
 	const struct peer *second = *(struct peer *const *)b;
+	wv_msec now = *(const wv_msec *)data;
+	bool is_live = is_live_hub(first, now);
 
+	if (is_live != is_live_hub(second, now))
+		return is_live ? -1 : 1;
 	return compare_strength(
 	    first->capacity, first->hash, second->capacity, second->hash);
 }
 
-/* Number of hubs among candidates in order of strength, this VM included. */
+/* Number of hubs among candidates, this VM included. */
 static unsigned
 count_hubs(const struct wv_peers *peers, const GPtrArray *candidates)
 {
 	double greatest = peers->own_capacity;
 	unsigned strong = 0;
 
-	if (candidates->len > 0)
+	for (guint i = 0; i < candidates->len; i++)
 		greatest = fmax(greatest,
-		    ((const struct peer *)candidates->pdata[0])->capacity);
+		    ((const struct peer *)candidates->pdata[i])->capacity);
 	for (guint i = 0; i < candidates->len; i++)
 		strong +=
 		    ((const struct peer *)candidates->pdata[i])->capacity >=
@@ -121,7 +157,7 @@
 		if (is_candidate(value, now))
 			g_ptr_array_add(peers->hubs, value);
 	}
-	g_ptr_array_sort(peers->hubs, compare_peers);
+	g_ptr_array_sort_with_data(peers->hubs, compare_candidates, &now);
 }
 
 static bool
@@ -144,13 +180,26 @@
 	return false;
 }
 
+/* Whether this VM rather attaches to a than to b. */
+static bool
+is_better_hub(const struct wv_peers *peers, wv_msec now, const struct peer *a,
+    const struct peer *b, bool near_first)
+{
+	bool is_live = is_live_hub(a, now);
+
+	if (!near_first && is_live != is_live_hub(b, now))
+		return is_live;
+	return peers_is_preferred(peers, a, b, near_first);
+}
+
 /*
  * Returns the best hub that this VM is not attached to, or NULL. Only the first
  * attachment prefers hubs that are near: the hubs of a zone may be few, and may
- * be lost together.
+ * be lost together. Only the second one prefers hubs that are known to be
+ * alive: the near ones may not have been heard yet.
  */
 static const struct peer *
-find_attachment(const struct wv_peers *peers, bool near_first)
+find_attachment(const struct wv_peers *peers, wv_msec now, bool near_first)
 {
 	const struct peer *best = NULL;
 
@@ -159,7 +208,7 @@
 
 		if (!is_attached_to(peers, hub) &&
 		    (best == NULL ||
-			peers_is_preferred(peers, hub, best, near_first)))
+			is_better_hub(peers, now, hub, best, near_first)))
 			best = hub;
 	}
 	return best;
@@ -167,7 +216,7 @@
 
 /* Replaces attachments to VMs that are no longer hubs. */
 static void
-update_attachments(struct wv_peers *peers)
+update_attachments(struct wv_peers *peers, wv_msec now)
 {
 	for (int i = 0; i < N_ATTACHMENTS; i++) {
 		struct attachment *attachment = &peers->attachments[i];
@@ -177,7 +226,8 @@
 		    is_hub(peers, attachment->hub))
 			continue;
 		*attachment = (struct attachment){0};
-		hub = peers->is_hub ? NULL : find_attachment(peers, i == 0);
+		hub =
+		    peers->is_hub ? NULL : find_attachment(peers, now, i == 0);
 		if (hub == NULL)
 			continue;
 		attachment->hub = hub->hash;
@@ -193,17 +243,13 @@
 
 	collect_candidates(peers, now);
 	n = count_hubs(peers, peers->hubs);
-	for (guint i = 0; i < peers->hubs->len; i++) {
-		const struct peer *peer = peers->hubs->pdata[i];
-
-		stronger += compare_strength(peer->capacity, peer->hash,
-				peers->own_capacity, peers->own_hash) < 0;
-	}
+	for (guint i = 0; i < peers->hubs->len; i++)
+		stronger += is_stronger(peers, peers->hubs->pdata[i]);
 	peers->is_hub = stronger < n;
 	if (peers->is_hub)
 		n--;
 	g_ptr_array_set_size(peers->hubs, (gint)MIN(n, peers->hubs->len));
-	update_attachments(peers);
+	update_attachments(peers, now);
 }
 
 /* Whether a VM is a hub that this VM itself hears. */
@@ -465,6 +511,53 @@
 	peers->introduced += n;
 }
 
+/* Whether a hub is alive that precedes this VM in the order of strength. */
+static bool
+knows_stronger_hub(const struct wv_peers *peers, wv_msec now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_live_hub(value, now) && is_stronger(peers, value))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Asks VMs that were never heard of, as long as no stronger hub is alive. Of
+ * the listed VMs any number may have been removed long ago. So a VM either
+ * finds a stronger hub or comes to know that it is the strongest one itself, a
+ * hub that watches the store, within seconds however many they are.
+ */
+static void
+add_search(struct wv_peers *peers, wv_msec now, GArray *targets)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned left;
+
+	peers->lonely_rounds =
+	    knows_stronger_hub(peers, now) ? 0 : peers->lonely_rounds + 1;
+	if (!is_searching(peers))
+		return;
+	left = MIN_SEARCH << MIN(peers->lonely_rounds - SEARCH_DELAY - 1,
+		   MAX_SEARCH_DOUBLINGS);
+	g_hash_table_iter_init(&iter, peers->table);
+	while (left > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct peer *peer = value;
+
+		if (peer->address.length == 0 || peer_is_alive(peer, now) ||
+		    peer->asked_at != WV_MSEC_NEVER ||
+		    !is_stronger(peers, peer))
+			continue;
+		add_target(targets, now, peer)->introduces = true;
+		left--;
+	}
+}
+
 struct wv_peer_target
 wv_peers_answer_introduction(
     const struct wv_peers *peers, const struct wv_peer_report *hub)
@@ -489,9 +582,7 @@
 		if (peer_is_alive(hub, now) &&
 		    now - hub->heard_at <= hub->max_silence &&
 		    wv_string_equal(hub->zone, peers->own_zone) &&
-		    (!peers->is_hub ||
-			compare_strength(hub->capacity, hub->hash,
-			    peers->own_capacity, peers->own_hash) < 0))
+		    (!peers->is_hub || is_stronger(peers, hub)))
 			return true;
 	}
 	return false;
@@ -508,5 +599,6 @@
 		add_attachments(peers, now, targets);
 	add_others(peers, now, own, targets);
 	add_introductions(peers, now, targets);
+	add_search(peers, now, targets);
 	peers->rounds++;
 }
--- a/test/test_peers_fleet.c
+++ b/test/test_peers_fleet.c
@@ -29,6 +29,12 @@
 #define LEAVING_TIME 750
 /** VMs that watch the store. */
 #define N_WATCHERS 3
+/** VMs that are left among many that were removed. */
+#define N_PRESENT 6
+/** Time after its start in which a VM among removed ones must get news, ms. */
+#define SEARCH_TIME 5000
+/** Time in which all VMs must have a change that the watchers have, ms. */
+#define SPREAD_TIME 2000
 
 /* Returns the greatest number of reports that one VM sends per second. */
 static double
@@ -313,6 +319,78 @@
 	fleet_destroy(fleet);
 }
 
+/* Gives all watchers a new revision; VMs read it from those that are ahead. */
+static void
+spread_news(struct fleet *fleet, uint64_t revision)
+{
+	for (size_t i = 0; i < fleet->n; i++) {
+		struct fleet_vm *vm = &fleet->vms[i];
+
+		if (vm->peers != NULL &&
+		    wv_peers_get_role(vm->peers, fleet->now, false).is_watcher)
+			vm->revision = revision;
+	}
+	for (int step = 0; step < SPREAD_TIME / FLEET_STEP; step++) {
+		for (size_t i = 0; i < fleet->n; i++) {
+			struct fleet_vm *vm = &fleet->vms[i];
+
+			if (vm->peers != NULL &&
+			    wv_peers_find_ahead(vm->peers, fleet->now,
+				WV_PEER_ROUTES, revision - 1)
+				    .length > 0)
+				vm->revision = revision;
+		}
+		fleet_run(fleet, FLEET_STEP);
+	}
+}
+
+static void
+check_all_have(const struct fleet *fleet, uint64_t revision)
+{
+	for (size_t i = 0; i < fleet->n; i++)
+		g_assert_true(fleet->vms[i].peers == NULL ||
+		    fleet->vms[i].revision == revision);
+}
+
+/*
+ * VMs that were removed for good stay listed. However many they are, a VM that
+ * starts must soon get news from the few that are left, and so must all after
+ * a restart of all.
+ */
+static void
+test_removed_vms(void)
+{
+	static const size_t removed[] = {0, 40, 300, 3000};
+
+	for (size_t k = 0; k < G_N_ELEMENTS(removed); k++) {
+		size_t n = N_PRESENT + removed[k];
+		struct fleet *fleet = fleet_create(n, n, 1, 0.02);
+
+		for (size_t i = 2; i < n - N_PRESENT + 2; i++)
+			fleet_kill(fleet, i);
+		fleet_run(fleet, SETTLE_TIME);
+		/* The last ones are added. */
+		fleet_kill(fleet, n - 1);
+		fleet_kill(fleet, n - 2);
+		fleet_run(fleet, LOSS_TIME);
+		fleet_start(fleet, n - 1);
+		fleet_start(fleet, n - 2);
+		fleet_run(fleet, SEARCH_TIME);
+		spread_news(fleet, 2);
+		check_all_have(fleet, 2);
+		for (size_t i = 0; i < n; i++) {
+			if (fleet->vms[i].peers == NULL)
+				continue;
+			fleet_kill(fleet, i);
+			fleet_start(fleet, i);
+		}
+		fleet_run(fleet, SEARCH_TIME);
+		spread_news(fleet, 3);
+		check_all_have(fleet, 3);
+		fleet_destroy(fleet);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -333,5 +411,6 @@
 	g_test_add_func(
 	    "/peers-fleet/news-reach-leaves", test_news_reach_leaves);
 	g_test_add_func("/peers-fleet/near-sources", test_near_sources);
+	g_test_add_func("/peers-fleet/removed-vms", test_removed_vms);
 	return g_test_run();
 }
