--- a/fuzz/object.c
+++ b/fuzz/object.c
@@ -71,6 +71,11 @@
     "\"services\":[{\"name\":\"s\",\"maxConnections\":26}],"
     "\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"
     "\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}}}}],\"atRev\":5}",
+    /* The second object can't be read by itself; the others can. */
+    "{\"items\":[{\"meta\":{\"name\":\"i-1\"},\"spec\":{\"a\":[1,{}]}},"
+    "{\"meta\":{\"name\":\"i-2\"},\"spec\":{\"zone\":\"\\ud83d\"}},"
+    "{\"meta\":{\"name\":\"i-3\"},\"spec\":{\"b\":\"\\\"]}\"}}],"
+    "\"hasMore\":true,\"atRev\":9}",
     NULL};
 
 const struct fuzz_target fuzz_store_object = {"object", run, seeds};
--- a/http/json.c
+++ b/http/json.c
@@ -7,13 +7,21 @@
 #include "http/json.h"
 #include "wisteriavane/json_text.h"
 
+/** Deepest nesting of objects and arrays that is parsed. */
+#define MAX_DEPTH 64
+
 JsonNode *
 wv_json_parse(struct wv_string body, struct wv_status *status)
 {
-	JsonParser *parser = json_parser_new_immutable();
+	JsonParser *parser;
 	GError *error = NULL;
 	JsonNode *root = NULL;
 
+	if (!wv_json_text_is_shallow(body, MAX_DEPTH)) {
+		wv_status_set(status, WV_BAD_JSON, "nested too deeply");
+		return NULL;
+	}
+	parser = json_parser_new_immutable();
 	if (!json_parser_load_from_data(
 		parser, body.data, (gssize)body.length, &error)) {
 		wv_status_set(
--- a/http/json.h
+++ b/http/json.h
@@ -10,7 +10,7 @@
 #include "wisteriavane/status.h"
 
 /**
- * Parses a body that must be one JSON object.
+ * Parses a body that must be one JSON object, nested at most 64 deep.
  *
  * @param status  receives WV_BAD_JSON and a message on failure
  * @return an immutable node to be released with json_node_unref(), or NULL
--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -139,6 +139,91 @@
 	g_assert_cmpuint(decoded.n, ==, 0);
 }
 
+#define GOOD_ITEM(name) \
+	"{\"meta\":{\"name\":\"" name "\"},\"spec\":" SEARCHER "}"
+
+/* Returns a text of brackets, nested n deep. */
+static char *
+nest(size_t n)
+{
+	char *text = g_malloc(2 * n + 1);
+
+	memset(text, '[', n);
+	memset(text + n, ']', n);
+	text[2 * n] = '\0';
+	return text;
+}
+
+/*
+ * One object that the JSON library rejects, or that would exhaust its stack,
+ * must not hide the others of a list or of changes.
+ */
+static void
+test_unreadable_object(void)
+{
+	char *deep = nest(60000);
+	const char *const specs[] = {"{\"zone\":\"\\ud83d\"}",
+	    "{\"zone\":\"\xff\"}", "{\"zone\":}", "{\"slots\":1e999}",
+	    "{\"zone\":\"z\",\"zone\":\"\\ud83d\"}", deep};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		char *list = g_strdup_printf(
+		    "{\"items\":[" GOOD_ITEM(
+			"i-1") ",{\"meta\":{\"name\":\"i-2\"},\"spec\":%s}"
+			       "," GOOD_ITEM("i-3") "],\"hasMore\":true,"
+						    "\"atRev\":9}",
+		    specs[i]);
+		char *changes = g_strdup_printf(
+		    "{\"events\":[{\"object\":{\"meta\":{\"name\":\"i-2\"},"
+		    "\"spec\":%s}},{\"deleted\":true,\"object\":" GOOD_ITEM(
+			"i-3") "}],\"atRev\":9}",
+		    specs[i]);
+		struct store_page page = {0};
+		struct decoded decoded = {0};
+
+		g_assert_true(decode(list, &page, &decoded));
+		g_assert_cmpuint(decoded.n, ==, 3);
+		g_assert_cmpuint(decoded.valid, ==, 2);
+		g_assert_true(page.more);
+		g_assert_cmpstr(page.last_name, ==, "i-3");
+		g_free(page.last_name);
+		g_free(decoded.change);
+		decoded = (struct decoded){0};
+		g_assert_true(decode(changes, &page, &decoded));
+		g_assert_cmpuint(decoded.n, ==, 2);
+		g_assert_cmpuint(decoded.deleted, ==, 1);
+		g_assert_cmpuint(page.revision, ==, 9);
+		g_free(page.last_name);
+		g_free(decoded.change);
+		g_free(changes);
+		g_free(list);
+	}
+	g_free(deep);
+}
+
+/*
+ * A text that ends early, or whose array is broken, must not pass for a list
+ * that lacks the rest of the objects.
+ */
+static void
+test_cut_bodies(void)
+{
+	static const char *const bad[] = {"{\"items\":[" GOOD_ITEM("i-1"),
+	    "{\"items\":[" GOOD_ITEM("i-1") "],\"atRev\":3",
+	    "{\"items\":[" GOOD_ITEM("i-1") GOOD_ITEM("i-2") "],\"atRev\":3}",
+	    "{\"items\":7,\"x\":\"\\ud83d\",\"atRev\":3}",
+	    "{\"items\":[\"\\ud83d\"],\"atRev\":3}{\"items\":[],\"atRev\":3}"};
+	struct store_page page = {0};
+	struct decoded decoded = {0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		if (decode(bad[i], &page, &decoded))
+			g_error("accepted: %s", bad[i]);
+		g_clear_pointer(&page.last_name, g_free);
+		g_clear_pointer(&decoded.change, g_free);
+	}
+}
+
 /* Changes decode to the same objects after they were passed on by a VM. */
 static void
 test_changes(void)
@@ -265,6 +350,8 @@
 	g_test_add_func("/dialect/entry", test_entry);
 	g_test_add_func("/dialect/unreadable", test_unreadable);
 	g_test_add_func("/dialect/bodies", test_bodies);
+	g_test_add_func("/dialect/unreadable-object", test_unreadable_object);
+	g_test_add_func("/dialect/cut-bodies", test_cut_bodies);
 	g_test_add_func("/dialect/changes", test_changes);
 	g_test_add_func("/dialect/paths", test_paths);
 	g_test_add_func("/dialect/routes", test_routes);
