--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -279,6 +279,21 @@
 	g_free(all);
 }
 
+/*
+ * A name of another writer with characters that a request line or a query can't
+ * hold must not break the call for the next page of a list.
+ */
+static void
+test_page_after_any_name(void)
+{
+	char *path = platform_get_adapter()->list_path(
+	    STORE_SEARCHERS, "a b&c=d#\xc3\xa9", true);
+
+	g_assert_cmpstr(
+	    strstr(path, "after="), ==, "after=a%20b%26c%3Dd%23%C3%A9");
+	g_free(path);
+}
+
 static struct wv_routes *
 decode_routes(const char *spec)
 {
@@ -354,6 +369,8 @@
 	g_test_add_func("/dialect/cut-bodies", test_cut_bodies);
 	g_test_add_func("/dialect/changes", test_changes);
 	g_test_add_func("/dialect/paths", test_paths);
+	g_test_add_func(
+	    "/dialect/page-after-any-name", test_page_after_any_name);
 	g_test_add_func("/dialect/routes", test_routes);
 	g_test_add_func("/dialect/bad-routes", test_bad_routes);
 	return g_test_run();
