--- a/entry/searcher_answer.c
+++ b/entry/searcher_answer.c
@@ -33,6 +33,16 @@
 	return answer->status < 500 ? WV_END_ANSWERED : WV_END_FAILED;
 }
 
+bool
+searcher_answer_says_leaving(
+    const struct platform_adapter *adapter, const struct message *answer)
+{
+	struct wv_string value;
+
+	return message_find_field(answer, adapter->leaving, &value) > 0 &&
+	    wv_string_equal(value, wv_string_borrow("1"));
+}
+
 bool
 status_promises_not_run(unsigned status)
 {
--- a/entry/searcher_answer.h
+++ b/entry/searcher_answer.h
@@ -20,6 +20,13 @@
     const struct platform_adapter *adapter, const struct message *answer,
     struct wv_string expected);
 
+/**
+ * Returns whether the searcher that has answered says that it is leaving: it
+ * takes no further requests. The value of the field must be 1.
+ */
+bool searcher_answer_says_leaving(
+    const struct platform_adapter *adapter, const struct message *answer);
+
 /**
  * Returns whether a status promises a caller that its request has not run and
  * never will.
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -125,6 +125,16 @@
 	    wv_string_equal(id, wv_string_borrow(conn->id));
 }
 
+static void
+note_leaving(struct entry *entry, const struct wv_searcher *searcher)
+{
+	wv_counter_add(&entry->metrics.searchers_leaving, 1);
+	log_line(entry->log, LOG_CHANGE, "searcher_leaving",
+	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\"",
+	    searcher->id.data, searcher->service->name.data,
+	    searcher->address.data);
+}
+
 static bool
 on_answer(void *data, struct client *client, struct message *answer)
 {
@@ -141,6 +151,11 @@
 	}
 	reply.end = searcher_answer_classify(
 	    entry->adapter, answer, attempt->searcher->id);
+	/* Another searcher speaks of itself. */
+	reply.leaving = reply.end != WV_END_WRONG_SEARCHER &&
+	    searcher_answer_says_leaving(entry->adapter, answer);
+	if (reply.leaving && !attempt->searcher->leaving)
+		note_leaving(entry, attempt->searcher);
 	reply.success = answer->status >= 200 && answer->status < 300;
 	reply.message = answer;
 	if (reply.end == WV_END_BROKEN) {
--- a/src/dispatch_pick.c
+++ b/src/dispatch_pick.c
@@ -133,8 +133,8 @@
 	for (guint i = 0; i < service->searchers->len; i++) {
 		struct wv_searcher *searcher = service->searchers->pdata[i];
 
-		if (!searcher->draining && !was_tried(shard, searcher) &&
-		    wv_health_is_usable(&searcher->health, now))
+		if (!was_tried(shard, searcher) &&
+		    wv_searcher_takes_requests(searcher, now))
 			add_candidate(dispatch, now, purpose, limit, searcher,
 			    &candidates);
 	}
@@ -161,8 +161,8 @@
 		const struct wv_searcher *searcher =
 		    service->searchers->pdata[i];
 
-		if (!searcher->draining && !was_tried(shard, searcher) &&
-		    wv_health_is_usable(&searcher->health, now))
+		if (!was_tried(shard, searcher) &&
+		    wv_searcher_takes_requests(searcher, now))
 			return true;
 	}
 	return false;
@@ -175,8 +175,7 @@
 		const struct wv_searcher *searcher =
 		    service->searchers->pdata[i];
 
-		if (!searcher->draining &&
-		    wv_health_is_usable(&searcher->health, now))
+		if (wv_searcher_takes_requests(searcher, now))
 			return true;
 	}
 	return false;
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -384,6 +384,9 @@
 	struct wv_shard *shard = attempt->shard;
 	bool kept = false;
 
+	if (reply->leaving)
+		wv_registry_set_leaving(
+		    dispatch->registry, now, attempt->searcher);
 	update_statistics(now, attempt, reply->end);
 	if (reply->end != WV_END_ANSWERED)
 		dispatch->ops->failed(
--- a/src/registry.c
+++ b/src/registry.c
@@ -3,6 +3,7 @@
  * Registry of searchers and services.
  */
 #include "src/private.h"
+#include "src/statements.h"
 #include "wisteriavane/registry.h"
 
 /** A zone is a main one if this many times its searchers are as many as in the
@@ -14,6 +15,7 @@
 	struct wv_string zone; /* owned */
 	GHashTable *searchers; /* by id; values are not owned */
 	GHashTable *services; /* by name; values are owned */
+	struct statements *statements; /* owned */
 	GHashTable *listed; /* searchers in the list in progress, or NULL */
 	wv_msec grace_until; /* missing searchers are kept until then */
 	wv_msec next; /* earliest removal_at, or WV_MSEC_NEVER */
@@ -42,6 +44,7 @@
 	    g_hash_table_new(wv_string_key_hash, wv_string_key_equal);
 	registry->services = g_hash_table_new_full(
 	    wv_string_key_hash, wv_string_key_equal, NULL, service_destroy);
+	registry->statements = statements_create();
 	registry->grace_until = -WV_MSEC_NEVER;
 	registry->next = WV_MSEC_NEVER;
 	return registry;
@@ -70,6 +73,7 @@
 	g_hash_table_unref(registry->services);
 	if (registry->listed != NULL)
 		g_hash_table_unref(registry->listed);
+	statements_destroy(registry->statements);
 	wv_string_clear(&registry->zone);
 	g_free(registry);
 }
@@ -113,6 +117,8 @@
     const struct wv_searcher_entry *entry)
 {
 	struct wv_searcher *searcher = g_new0(struct wv_searcher, 1);
+	const struct statement *said =
+	    statements_find(registry->statements, entry->id, entry->started);
 
 	searcher->id = wv_string_copy(entry->id);
 	searcher->address = wv_string_copy(entry->address);
@@ -121,6 +127,7 @@
 	searcher->started = entry->started;
 	searcher->slots = MAX(entry->slots, 1);
 	searcher->draining = entry->draining;
+	searcher->leaving = said != NULL && said->leaving;
 	searcher->same_zone = wv_string_equal(entry->zone, registry->zone);
 	wv_health_reset(&searcher->health, now, entry->warm_up_left);
 	g_hash_table_insert(registry->searchers, &searcher->id, searcher);
@@ -189,6 +196,23 @@
 	return true;
 }
 
+void
+wv_registry_set_leaving(
+    struct wv_registry *registry, wv_msec now, struct wv_searcher *searcher)
+{
+	searcher->leaving = true;
+	statements_add(
+	    registry->statements, now, searcher->id, searcher->started)
+	    ->leaving = true;
+}
+
+bool
+wv_searcher_takes_requests(const struct wv_searcher *searcher, wv_msec now)
+{
+	return !searcher->draining && !searcher->leaving &&
+	    wv_health_is_usable(&searcher->health, now);
+}
+
 void
 wv_registry_begin_list(struct wv_registry *registry)
 {
@@ -280,7 +304,7 @@
 	unsigned n =
 	    GPOINTER_TO_UINT(g_hash_table_lookup(counts, searcher->zone.data));
 
-	if (!searcher->draining)
+	if (!searcher->draining && !searcher->leaving)
 		g_hash_table_insert(
 		    counts, searcher->zone.data, GUINT_TO_POINTER(n + 1));
 }
--- a/test/dispatch_simulation.h
+++ b/test/dispatch_simulation.h
@@ -45,6 +45,7 @@
 	enum searcher_mode mode;
 	unsigned slots;
 	double factor; /* multiplies the work time */
+	bool leaving; /* says so in its answers */
 	wv_msec paused_until; /* neither starts nor ends requests */
 	struct simulation_job jobs[MAX_QUEUE];
 	unsigned arrivals; /* requests sent to it */
@@ -311,7 +312,11 @@
     enum wv_attempt_end end)
 {
 	struct wv_attempt *attempt = job->attempt;
-	struct wv_reply reply = {.end = end, .success = end == WV_END_ANSWERED};
+	const struct simulation_searcher *searcher =
+	    simulation_find_searcher(simulation, attempt->searcher->id);
+	struct wv_reply reply = {.end = end,
+	    .success = end == WV_END_ANSWERED,
+	    .leaving = searcher->leaving};
 
 	job->attempt = NULL;
 	job->used = false;
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -124,6 +124,39 @@
 	simulation_destroy(simulation);
 }
 
+/*
+ * A searcher that says that it is leaving gets neither first attempts nor
+ * hedges. If all have said so, requests are refused at once.
+ */
+static void
+test_leaving(void)
+{
+	struct simulation *simulation = simulation_create(1, 3, 8);
+	struct simulation_result results[60] = {0};
+	struct simulation_result refused = {0};
+
+	simulation_searcher(simulation, 0, 0)->leaving = true;
+	/* Slow, so that its requests are hedged. */
+	simulation_searcher(simulation, 0, 1)->factor = 20;
+	for (unsigned i = 0; i < 60; i++) {
+		simulation_submit(simulation, 1, 1500, &results[i]);
+		simulation_run(simulation, 20);
+	}
+	g_assert_cmpuint(
+	    simulation_searcher(simulation, 0, 0)->arrivals, ==, 1);
+	for (unsigned k = 0; k < 3; k++)
+		simulation_searcher(simulation, 0, k)->leaving = true;
+	for (unsigned i = 0; i < 4; i++) {
+		results[i] = (struct simulation_result){0};
+		simulation_submit(simulation, 1, 1500, &results[i]);
+		simulation_run(simulation, 400);
+	}
+	simulation_submit(simulation, 1, 1500, &refused);
+	g_assert_true(refused.done);
+	g_assert_cmpint(refused.kind, ==, WV_RESULT_REFUSED);
+	simulation_destroy(simulation);
+}
+
 /* Without a reachable searcher, requests are refused with a retry time. */
 static void
 test_refuses_unreachable(void)
@@ -376,6 +409,7 @@
 	    "/dispatch/scatter/far-caller", test_partial_to_far_caller);
 	g_test_add_func("/dispatch/scatter/least", test_below_min_parts);
 	g_test_add_func("/dispatch/scatter/give-up", test_fails_at_once);
+	g_test_add_func("/dispatch/leaving", test_leaving);
 	g_test_add_func(
 	    "/dispatch/scatter/unreachable", test_refuses_unreachable);
 	g_test_add_func(
--- a/test/test_entry_requests.c
+++ b/test/test_entry_requests.c
@@ -6,6 +6,10 @@
 
 /** Orders that are sent to searchers that send stale answers. */
 #define N_STALE_ORDERS 100
+/** Orders in which each searcher of orders gets some. */
+#define N_LEAVING_ORDERS 20
+/** Time within which a watcher of the store has a change, ms. */
+#define BATCH_TIME 500
 
 /* Invalid requests get their status and reach no searcher. */
 static void
@@ -172,6 +176,81 @@
 	fixture_destroy(fixture);
 }
 
+/* Sends n orders, each of which must succeed. */
+static void
+send_orders(struct fixture *fixture, const char *prefix, unsigned n)
+{
+	for (unsigned i = 0; i < n; i++) {
+		char *id = g_strdup_printf("%s-%u", prefix, i);
+		char *order = compose_order(id);
+		GString *body = g_string_new(NULL);
+
+		g_assert_cmpuint(exchange_bytes(fixture,
+				     fixture->vms[0].callers, order, body),
+		    ==, 200);
+		g_string_free(body, TRUE);
+		g_free(order);
+		g_free(id);
+	}
+}
+
+/* Writes the entry of the first searcher of orders as ready. */
+static void
+write_order_searcher(struct fixture *fixture, uint64_t started)
+{
+	char *id = standin_searcher_id(N_SERVICES - 1, 0);
+	char *service = g_strdup_printf("s%u", N_SERVICES - 1);
+
+	standin_store_remove(fixture->store, STANDIN_KIND_SEARCHERS, id);
+	run_for(fixture, 2 * BATCH_TIME);
+	standin_store_write(fixture->store, STANDIN_KIND_SEARCHERS, id,
+	    standin_searcher_spec(service,
+		standin_searchers_address(
+		    fixture->searchers, N_SERVICES - 1, 0),
+		started, false));
+	run_for(fixture, 2 * BATCH_TIME);
+	g_free(service);
+	g_free(id);
+}
+
+/*
+ * A searcher that says in an answer that it is leaving gets no further request,
+ * also if its entry disappears and comes back as ready. A new incarnation at
+ * the same address is another searcher.
+ */
+static void
+test_leaving(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	uint64_t arrivals;
+
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	standin_searchers_set_leaving(
+	    fixture->searchers, N_SERVICES - 1, 0, true);
+	send_orders(fixture, "before", N_LEAVING_ORDERS);
+	g_assert_true(wait_logged(fixture, vm, "\"searcher_leaving\""));
+	arrivals =
+	    standin_searchers_arrivals(fixture->searchers, N_SERVICES - 1, 0);
+	g_assert_cmpuint(arrivals, ==, 1);
+	write_order_searcher(fixture, 1);
+	send_orders(fixture, "after", N_LEAVING_ORDERS);
+	g_assert_cmpuint(
+	    standin_searchers_arrivals(fixture->searchers, N_SERVICES - 1, 0),
+	    ==, arrivals);
+	standin_searchers_set_leaving(
+	    fixture->searchers, N_SERVICES - 1, 0, false);
+	write_order_searcher(fixture, 2);
+	send_orders(fixture, "new", N_LEAVING_ORDERS);
+	g_assert_cmpuint(
+	    standin_searchers_arrivals(fixture->searchers, N_SERVICES - 1, 0),
+	    >, arrivals);
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -184,5 +263,6 @@
 	g_test_add_func(
 	    "/entry-requests/failed-after-run", test_failed_after_run);
 	g_test_add_func("/entry-requests/stale-answers", test_stale_answers);
+	g_test_add_func("/entry-requests/leaving", test_leaving);
 	return g_test_run();
 }
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -51,6 +51,7 @@
 struct wv_reply {
 	enum wv_attempt_end end;
 	bool success; /**< the answer reports success */
+	bool leaving; /**< the searcher says that it is leaving */
 	void *message; /**< the answer or NULL; the dispatch takes ownership */
 };
 
--- a/wisteriavane/registry.h
+++ b/wisteriavane/registry.h
@@ -52,7 +52,8 @@
 	struct wv_registry_service *service;
 	uint64_t started; /**< Unix time of its start, ms */
 	uint32_t slots; /**< concurrent requests, at least 1 */
-	bool draining; /**< takes no new requests */
+	bool draining; /**< takes no new requests, by its entry */
+	bool leaving; /**< takes no new requests, by its own answers */
 	bool removed; /**< not in the registry; freed after its last attempt */
 	bool same_zone; /**< in the availability zone of this VM */
 	wv_msec removal_at; /**< entry is missing: when it is removed; else 0 */
@@ -124,6 +125,20 @@
 void wv_registry_start_grace(
     struct wv_registry *registry, wv_msec now, wv_msec grace);
 
+/**
+ * Records that a searcher has said in an answer that it is leaving. This holds
+ * for its incarnation, whatever its entry says, and also if the entry
+ * disappears and comes back.
+ */
+void wv_registry_set_leaving(
+    struct wv_registry *registry, wv_msec now, struct wv_searcher *searcher);
+
+/**
+ * Returns whether a searcher may get a request now, as a probe if it is lost.
+ */
+bool wv_searcher_takes_requests(
+    const struct wv_searcher *searcher, wv_msec now);
+
 /** Removes missing searchers whose grace period has ended. */
 void wv_registry_tick(struct wv_registry *registry, wv_msec now);
 
