--- a/entry/searcher_answer.c
+++ b/entry/searcher_answer.c
@@ -2,6 +2,8 @@
  * @file
  * What a searcher's answer proves about the run of a request.
  */
+#include <math.h>
+
 #include "entry/searcher_answer.h"
 
 /* Whether the expected searcher itself has answered. */
@@ -43,6 +45,37 @@
 	    wv_string_equal(value, wv_string_borrow("1"));
 }
 
+/* Returns whether a text is a number of digits with at most one point. */
+static bool
+is_decimal(struct wv_string text)
+{
+	size_t points = 0;
+
+	for (size_t i = 0; i < text.length; i++) {
+		points += text.data[i] == '.';
+		if (text.data[i] != '.' && !g_ascii_isdigit(text.data[i]))
+			return false;
+	}
+	return text.length > points && points <= 1;
+}
+
+wv_msec
+searcher_answer_rest(const struct message *answer)
+{
+	struct wv_string value;
+	double seconds;
+	char *text;
+
+	if (answer->status != 503 ||
+	    message_find_field(answer, "retry-after", &value) != 1 ||
+	    !is_decimal(value))
+		return 0;
+	text = g_strndup(value.data, value.length);
+	seconds = g_ascii_strtod(text, NULL);
+	g_free(text);
+	return fmin(seconds * 1000, MAX_REST);
+}
+
 bool
 status_promises_not_run(unsigned status)
 {
--- a/entry/searcher_answer.h
+++ b/entry/searcher_answer.h
@@ -9,6 +9,9 @@
 #include "entry/platform_adapter.h"
 #include "wisteriavane/health.h"
 
+/** Longest rest that a searcher can ask for, ms. */
+#define MAX_REST 1e9
+
 /**
  * Returns how an attempt ended. Only WV_END_REJECTED and WV_END_WRONG_SEARCHER
  * prove that the request did not run: the searcher says so, or another searcher
@@ -27,6 +30,13 @@
 bool searcher_answer_says_leaving(
     const struct platform_adapter *adapter, const struct message *answer);
 
+/**
+ * Returns how long the searcher wants no further request, ms: the Retry-After
+ * of a 503, in seconds with or without a fraction, at most MAX_REST. 0 if there
+ * is none, and for zero, a date or anything else.
+ */
+wv_msec searcher_answer_rest(const struct message *answer);
+
 /**
  * Returns whether a status promises a caller that its request has not run and
  * never will.
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -135,6 +135,15 @@
 	    searcher->address.data);
 }
 
+static void
+note_rest(struct entry *entry, const struct wv_searcher *searcher, wv_msec rest)
+{
+	wv_counter_add(&entry->metrics.searchers_resting, 1);
+	log_line(entry->log, LOG_FAILURE, "searcher_rests",
+	    "\"searcher\":\"%s\",\"service\":\"%s\",\"rest_ms\":%.0f",
+	    searcher->id.data, searcher->service->name.data, rest);
+}
+
 static bool
 on_answer(void *data, struct client *client, struct message *answer)
 {
@@ -156,6 +165,9 @@
 	    searcher_answer_says_leaving(entry->adapter, answer);
 	if (reply.leaving && !attempt->searcher->leaving)
 		note_leaving(entry, attempt->searcher);
+	reply.rest = searcher_answer_rest(answer);
+	if (reply.rest > 0)
+		note_rest(entry, attempt->searcher, reply.rest);
 	reply.success = answer->status >= 200 && answer->status < 300;
 	reply.message = answer;
 	if (reply.end == WV_END_BROKEN) {
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -3,6 +3,7 @@
  * Life cycle of requests: admission, deadlines, and full or partial answers.
  */
 #include <math.h>
+#include <stdlib.h>
 
 #include "src/dispatch_private.h"
 
@@ -26,6 +27,8 @@
 /* Retry-After of refused requests, ms. */
 #define RETRY_AFTER_UNREACHABLE_MS 500.0
 #define RETRY_AFTER_CAPACITY_MS 150.0
+/* Greatest random part by which it is longer if searchers rest. */
+#define RETRY_JITTER 0.2
 /* Absorbs rounding when the minimum number of parts is computed. */
 #define RATIO_TOLERANCE 1e-9
 
@@ -238,17 +241,59 @@
 	return false;
 }
 
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+	wv_msec first = *(const wv_msec *)a;
+	wv_msec second = *(const wv_msec *)b;
+
+	return first < second ? -1 : first > second;
+}
+
+/*
+ * Returns how long fewer services than the task needs have a searcher that
+ * takes requests, ms: 0 if enough have one now, WV_MSEC_NEVER if it is not
+ * known.
+ */
+static wv_msec
+time_until_enough(const struct wv_task *task, wv_msec now)
+{
+	wv_msec *rests = g_new(wv_msec, task->n_shards);
+	wv_msec longest;
+
+	for (size_t i = 0; i < task->n_shards; i++)
+		rests[i] =
+		    wv_registry_service_rest(task->shards[i].service, now);
+	qsort(rests, task->n_shards, sizeof(*rests), compare_times);
+	longest = task->needed > 0 ? rests[task->needed - 1] : 0;
+	g_free(rests);
+	return longest;
+}
+
+/* Returns the time after which the caller of a refused task may return, ms. */
+static wv_msec
+choose_retry_after(struct wv_dispatch *dispatch, wv_msec now,
+    const struct wv_task *task, enum wv_reason reason)
+{
+	wv_msec rest = time_until_enough(task, now);
+
+	/* Callers that were refused together must not return together. */
+	if (rest > 0 && rest < WV_MSEC_NEVER)
+		return rest * (1 + RETRY_JITTER * dispatch_random(dispatch));
+	return reason == WV_REASON_UNREACHABLE ? RETRY_AFTER_UNREACHABLE_MS
+					       : RETRY_AFTER_CAPACITY_MS;
+}
+
 static void
-finish_without_answer(
-    struct wv_dispatch *dispatch, struct wv_task *task, enum wv_reason reason)
+finish_without_answer(struct wv_dispatch *dispatch, wv_msec now,
+    struct wv_task *task, enum wv_reason reason)
 {
 	struct wv_result result = {.reason = reason};
 
 	if (!may_run(task)) {
 		result.kind = WV_RESULT_REFUSED;
-		result.retry_after = reason == WV_REASON_UNREACHABLE
-		    ? RETRY_AFTER_UNREACHABLE_MS
-		    : RETRY_AFTER_CAPACITY_MS;
+		result.retry_after =
+		    choose_retry_after(dispatch, now, task, reason);
 	} else {
 		result.kind = reason == WV_REASON_DEADLINE ? WV_RESULT_EXPIRED
 							   : WV_RESULT_FAILED;
@@ -287,7 +332,8 @@
 }
 
 bool
-dispatch_try_finish(struct wv_dispatch *dispatch, struct wv_task *task)
+dispatch_try_finish(
+    struct wv_dispatch *dispatch, wv_msec now, struct wv_task *task)
 {
 	bool enough = task->included >= task->needed;
 
@@ -296,7 +342,7 @@
 			finish_with_relay(dispatch, task);
 		else if (task->given_up > 0)
 			finish_without_answer(
-			    dispatch, task, task->shards[0].reason);
+			    dispatch, now, task, task->shards[0].reason);
 		else
 			return false;
 		return true;
@@ -306,7 +352,8 @@
 		return true;
 	}
 	if (task->n_shards - task->given_up < task->needed) {
-		finish_without_answer(dispatch, task, find_first_reason(task));
+		finish_without_answer(
+		    dispatch, now, task, find_first_reason(task));
 		return true;
 	}
 	if (enough && task->stage == STAGE_DEADLINE) {
@@ -324,10 +371,11 @@
 	    task->route->kind == WV_ROUTE_SCATTER) {
 		finish_with_parts(dispatch, task);
 	} else if (now >= task->deadline) {
-		finish_without_answer(dispatch, task, WV_REASON_DEADLINE);
+		finish_without_answer(dispatch, now, task, WV_REASON_DEADLINE);
 	} else if (task->stage == STAGE_DEFERRED) {
 		dispatch_record_admission(task->latency, false);
-		finish_without_answer(dispatch, task, WV_REASON_NO_CAPACITY);
+		finish_without_answer(
+		    dispatch, now, task, WV_REASON_NO_CAPACITY);
 	} else {
 		task->stage++;
 		set_task_timer(dispatch, task);
@@ -355,7 +403,7 @@
 	dispatch_record_admission(task->latency, true);
 	for (size_t i = 0; i < task->n_shards; i++)
 		dispatch_send_or_queue(dispatch, now, &task->shards[i]);
-	if (dispatch_try_finish(dispatch, task))
+	if (dispatch_try_finish(dispatch, now, task))
 		return false;
 	task->stage = task->route->kind == WV_ROUTE_SCATTER ? STAGE_TARGET
 							    : STAGE_DEADLINE;
@@ -373,11 +421,12 @@
 
 	add_shards(dispatch, now, task);
 	if (task->deadline <= now) {
-		finish_without_answer(dispatch, task, WV_REASON_DEADLINE);
+		finish_without_answer(dispatch, now, task, WV_REASON_DEADLINE);
 		return NULL;
 	}
 	if (!has_enough_services(task, now)) {
-		finish_without_answer(dispatch, task, WV_REASON_UNREACHABLE);
+		finish_without_answer(
+		    dispatch, now, task, WV_REASON_UNREACHABLE);
 		return NULL;
 	}
 	if (dispatch_defer(task)) {
@@ -408,12 +457,11 @@
 wv_dispatch_abort_task(
     struct wv_dispatch *dispatch, wv_msec now, struct wv_task *task)
 {
-	(void)now;
 	if (task->route->kind == WV_ROUTE_SCATTER &&
 	    task->included >= task->needed)
 		finish_with_parts(dispatch, task);
 	else
-		finish_without_answer(dispatch, task, WV_REASON_STOPPING);
+		finish_without_answer(dispatch, now, task, WV_REASON_STOPPING);
 }
 
 static void
--- a/src/dispatch_pick.c
+++ b/src/dispatch_pick.c
@@ -11,9 +11,9 @@
 /** Cost added for a searcher with an overdue attempt. */
 #define OVERDUE_COST 100.0
 
-/* Returns a number from 0 to less than 1, from a xorshift generator. */
-static double
-random_fraction(struct wv_dispatch *dispatch)
+/* A xorshift generator. */
+double
+dispatch_random(struct wv_dispatch *dispatch)
 {
 	uint64_t x = dispatch->random;
 
@@ -72,7 +72,7 @@
 		cost *= SAME_ZONE_FACTOR;
 	if (has_overdue(searcher, now))
 		cost += OVERDUE_COST;
-	return cost * (1 + COST_JITTER * random_fraction(dispatch));
+	return cost * (1 + COST_JITTER * dispatch_random(dispatch));
 }
 
 /* The candidates of a service that were found so far, by state. */
--- a/src/dispatch_private.h
+++ b/src/dispatch_private.h
@@ -93,6 +93,9 @@
 size_t dispatch_pick_service(
     struct route_latency *latency, const struct wv_route *route);
 
+/** Returns a random number from 0 to less than 1. */
+double dispatch_random(struct wv_dispatch *dispatch);
+
 /** Why an attempt is made. */
 enum purpose {
 	PURPOSE_FIRST, /**< first attempt or retry */
@@ -177,7 +180,8 @@
  *
  * @return true if the task has finished and is invalid
  */
-bool dispatch_try_finish(struct wv_dispatch *dispatch, struct wv_task *task);
+bool dispatch_try_finish(
+    struct wv_dispatch *dispatch, wv_msec now, struct wv_task *task);
 
 /** Passes the result to the embedder and frees the task. */
 void dispatch_finish(struct wv_dispatch *dispatch, struct wv_task *task,
--- a/src/dispatch_shard.c
+++ b/src/dispatch_shard.c
@@ -17,6 +17,11 @@
  * stops at the deadline and answers that it did, so the connection is kept.
  */
 #define DEADLINE_GRACE_MS 60.0
+/**
+ * Greatest random part by which a rest is longer than asked for, so that not
+ * all VMs return to a searcher at the same moment.
+ */
+#define REST_JITTER 0.1
 /** Minimum time left until the deadline for a further attempt, ms. */
 #define MIN_TIME_LEFT_MS 2.0
 
@@ -231,7 +236,7 @@
 		return;
 	if (shard->waiting) {
 		dispatch_give_up(shard, WV_REASON_NO_CAPACITY);
-		dispatch_try_finish(dispatch, task);
+		dispatch_try_finish(dispatch, now, task);
 		dispatch_admit_deferred(dispatch, now, service);
 		return;
 	}
@@ -349,7 +354,7 @@
 			    dispatch, now, shard, searcher, shard->arrived);
 		} else {
 			dispatch_give_up(shard, WV_REASON_REJECTED);
-			dispatch_try_finish(dispatch, shard->task);
+			dispatch_try_finish(dispatch, now, shard->task);
 		}
 	}
 }
@@ -387,6 +392,10 @@
 	if (reply->leaving)
 		wv_registry_set_leaving(
 		    dispatch->registry, now, attempt->searcher);
+	if (reply->rest > 0)
+		wv_registry_set_rest(dispatch->registry, now, attempt->searcher,
+		    reply->rest *
+			(1 + REST_JITTER * dispatch_random(dispatch)));
 	update_statistics(now, attempt, reply->end);
 	if (reply->end != WV_END_ANSWERED)
 		dispatch->ops->failed(
@@ -399,7 +408,7 @@
 	if (!kept && reply->message != NULL)
 		dispatch->ops->drop(dispatch->ops, reply->message);
 	if (task != NULL)
-		dispatch_try_finish(dispatch, task);
+		dispatch_try_finish(dispatch, now, task);
 	dispatch_send_waiting(dispatch, now, service);
 }
 
--- a/src/registry.c
+++ b/src/registry.c
@@ -128,6 +128,8 @@
 	searcher->slots = MAX(entry->slots, 1);
 	searcher->draining = entry->draining;
 	searcher->leaving = said != NULL && said->leaving;
+	searcher->rests_until =
+	    said != NULL ? said->rests_until : -WV_MSEC_NEVER;
 	searcher->same_zone = wv_string_equal(entry->zone, registry->zone);
 	wv_health_reset(&searcher->health, now, entry->warm_up_left);
 	g_hash_table_insert(registry->searchers, &searcher->id, searcher);
@@ -206,13 +208,47 @@
 	    ->leaving = true;
 }
 
-bool
-wv_searcher_takes_requests(const struct wv_searcher *searcher, wv_msec now)
+void
+wv_registry_set_rest(struct wv_registry *registry, wv_msec now,
+    struct wv_searcher *searcher, wv_msec rest)
+{
+	struct statement *statement = statements_add(
+	    registry->statements, now, searcher->id, searcher->started);
+
+	searcher->rests_until = MAX(searcher->rests_until, now + rest);
+	statement->rests_until = searcher->rests_until;
+}
+
+/* Whether a searcher takes requests, now or after it has rested. */
+static bool
+is_usable(const struct wv_searcher *searcher, wv_msec now)
 {
 	return !searcher->draining && !searcher->leaving &&
 	    wv_health_is_usable(&searcher->health, now);
 }
 
+bool
+wv_searcher_takes_requests(const struct wv_searcher *searcher, wv_msec now)
+{
+	return is_usable(searcher, now) && now >= searcher->rests_until;
+}
+
+wv_msec
+wv_registry_service_rest(const struct wv_registry_service *service, wv_msec now)
+{
+	wv_msec shortest = WV_MSEC_NEVER;
+
+	for (guint i = 0; i < service->searchers->len; i++) {
+		const struct wv_searcher *searcher =
+		    service->searchers->pdata[i];
+
+		if (is_usable(searcher, now))
+			shortest =
+			    MIN(shortest, MAX(searcher->rests_until - now, 0));
+	}
+	return shortest;
+}
+
 void
 wv_registry_begin_list(struct wv_registry *registry)
 {
--- a/src/statements.c
+++ b/src/statements.c
@@ -43,10 +43,12 @@
 static gboolean
 is_outdated(gpointer key, gpointer value, gpointer data)
 {
+	const struct statement *statement = value;
 	wv_msec now = *(const wv_msec *)data;
 
 	(void)key;
-	return now - ((const struct statement *)value)->said_at > RETENTION;
+	return now - statement->said_at > RETENTION &&
+	    now > statement->rests_until;
 }
 
 struct statement *
@@ -59,13 +61,16 @@
 	g_hash_table_foreach_remove(statements->table, is_outdated, &now);
 	statement = g_hash_table_lookup(statements->table, &id);
 	if (statement == NULL) {
-		statement = g_new0(struct statement, 1);
+		statement = g_new(struct statement, 1);
+		*statement = (struct statement){
+		    .started = started, .rests_until = -WV_MSEC_NEVER};
 		key = g_new(struct wv_string, 1);
 		*key = wv_string_copy(id);
 		g_hash_table_insert(statements->table, key, statement);
 	}
 	if (statement->started != started)
-		*statement = (struct statement){.started = started};
+		*statement = (struct statement){
+		    .started = started, .rests_until = -WV_MSEC_NEVER};
 	statement->said_at = now;
 	return statement;
 }
--- a/src/statements.h
+++ b/src/statements.h
@@ -16,6 +16,7 @@
 struct statement {
 	uint64_t started; /**< start of the incarnation, Unix time, ms */
 	bool leaving; /**< it takes no further requests */
+	wv_msec rests_until; /**< it wants no requests before, monotonic, ms */
 	wv_msec said_at; /**< monotonic, ms */
 };
 
--- a/test/dispatch_simulation.h
+++ b/test/dispatch_simulation.h
@@ -46,6 +46,7 @@
 	unsigned slots;
 	double factor; /* multiplies the work time */
 	bool leaving; /* says so in its answers */
+	wv_msec rest; /* asked for when it rejects, ms; 0: none */
 	wv_msec paused_until; /* neither starts nor ends requests */
 	struct simulation_job jobs[MAX_QUEUE];
 	unsigned arrivals; /* requests sent to it */
@@ -316,7 +317,8 @@
 	    simulation_find_searcher(simulation, attempt->searcher->id);
 	struct wv_reply reply = {.end = end,
 	    .success = end == WV_END_ANSWERED,
-	    .leaving = searcher->leaving};
+	    .leaving = searcher->leaving,
+	    .rest = end == WV_END_REJECTED ? searcher->rest : 0};
 
 	job->attempt = NULL;
 	job->used = false;
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -157,6 +157,51 @@
 	simulation_destroy(simulation);
 }
 
+/*
+ * A searcher that asks for a rest gets nothing for that time. If all rest, the
+ * caller is refused at once and told the shortest rest, and later served.
+ */
+static void
+test_resting(void)
+{
+	static const wv_msec rests[] = {600, 300, 900};
+	struct simulation *simulation = simulation_create(1, 3, 9);
+	struct simulation_result first = {0}, refused = {0}, served = {0};
+	unsigned arrivals = 0;
+
+	simulation->routes->routes[1].max_attempts = 3;
+	for (unsigned k = 0; k < 3; k++) {
+		simulation_searcher(simulation, 0, k)->mode =
+		    SEARCHER_REJECTING;
+		simulation_searcher(simulation, 0, k)->rest = rests[k];
+	}
+	simulation_submit(simulation, 1, 1500, &first);
+	simulation_run(simulation, 50);
+	g_assert_cmpint(first.kind, ==, WV_RESULT_REFUSED);
+	for (unsigned i = 0; i < 20; i++) {
+		refused = (struct simulation_result){0};
+		simulation_submit(simulation, 1, 1500, &refused);
+		g_assert_true(refused.done);
+		g_assert_cmpint(refused.kind, ==, WV_RESULT_REFUSED);
+		simulation_run(simulation, 10);
+	}
+	/* About 240 ms of the shortest rest have passed. */
+	g_assert_cmpfloat(refused.retry_after, >=, 50);
+	g_assert_cmpfloat(refused.retry_after, <=, 1.2 * (330 - 230));
+	for (unsigned k = 0; k < 3; k++) {
+		arrivals += simulation_searcher(simulation, 0, k)->arrivals;
+		simulation_searcher(simulation, 0, k)->mode = SEARCHER_HEALTHY;
+	}
+	g_assert_cmpuint(arrivals, ==, 3);
+	simulation_run(simulation, 100);
+	simulation_submit(simulation, 1, 1500, &served);
+	simulation_run(simulation, 60);
+	g_assert_cmpint(served.kind, ==, WV_RESULT_RELAY);
+	g_assert_cmpuint(
+	    simulation_searcher(simulation, 0, 1)->arrivals, ==, 2);
+	simulation_destroy(simulation);
+}
+
 /* Without a reachable searcher, requests are refused with a retry time. */
 static void
 test_refuses_unreachable(void)
@@ -410,6 +455,7 @@
 	g_test_add_func("/dispatch/scatter/least", test_below_min_parts);
 	g_test_add_func("/dispatch/scatter/give-up", test_fails_at_once);
 	g_test_add_func("/dispatch/leaving", test_leaving);
+	g_test_add_func("/dispatch/resting", test_resting);
 	g_test_add_func(
 	    "/dispatch/scatter/unreachable", test_refuses_unreachable);
 	g_test_add_func(
--- a/test/test_entry_requests.c
+++ b/test/test_entry_requests.c
@@ -8,6 +8,10 @@
 #define N_STALE_ORDERS 100
 /** Orders in which each searcher of orders gets some. */
 #define N_LEAVING_ORDERS 20
+/** Orders that are sent while all searchers of orders rest. */
+#define N_RESTING_ORDERS 20
+/** Longest rest that follows from STANDIN_REST, ms. */
+#define MAX_REST_TIME (STANDIN_REST * 1100)
 /** Time within which a watcher of the store has a change, ms. */
 #define BATCH_TIME 500
 
@@ -251,6 +255,40 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * Searchers that reject with a Retry-After get no further request until it has
+ * passed, and the callers are refused at once meanwhile. Then they get some.
+ */
+static void
+test_resting(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	char *order = compose_order("order-rest");
+	GString *body = g_string_new(NULL);
+	uint64_t arrivals = 0;
+
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	set_order_mode(fixture, "rest");
+	for (unsigned i = 0; i < N_RESTING_ORDERS; i++)
+		g_assert_cmpuint(
+		    exchange_bytes(fixture, vm->callers, order, body), ==, 503);
+	set_order_mode(fixture, "sound");
+	for (unsigned i = 0; i < N_REPLICAS; i++)
+		arrivals += standin_searchers_arrivals(
+		    fixture->searchers, N_SERVICES - 1, i);
+	g_assert_cmpuint(arrivals, ==, N_REPLICAS);
+	g_assert_true(wait_logged(fixture, vm, "\"searcher_rests\""));
+	run_for(fixture, MAX_REST_TIME);
+	send_orders(fixture, "after-rest", 1);
+	stop_vm(fixture, vm);
+	g_string_free(body, TRUE);
+	g_free(order);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -264,5 +302,6 @@
 	    "/entry-requests/failed-after-run", test_failed_after_run);
 	g_test_add_func("/entry-requests/stale-answers", test_stale_answers);
 	g_test_add_func("/entry-requests/leaving", test_leaving);
+	g_test_add_func("/entry-requests/resting", test_resting);
 	return g_test_run();
 }
--- /dev/null
+++ b/test/test_searcher_answer.c
@@ -0,0 +1,147 @@
+/**
+ * @file
+ * Tests of what a searcher's answer proves and says of the searcher.
+ */
+#include <string.h>
+
+#include "entry/searcher_answer.h"
+
+/** The searcher that the request was sent to. */
+#define EXPECTED "i-1"
+#define STAMP "X-Server-Stamp: s\r\n"
+
+/* Returns the answer with a status and fields; the caller owns it. */
+static struct message *
+parse_answer(unsigned status, const char *fields)
+{
+	char *text =
+	    g_strdup_printf("HTTP/1.1 %u Status\r\n%sContent-Length: 0\r\n\r\n",
+		status, fields);
+	struct message_parser parser;
+	struct message *answer;
+	size_t used;
+
+	message_parser_init(&parser, HTTP_RESPONSE, 4096, 4096);
+	message_parser_reset(&parser, false);
+	g_assert_cmpint(message_parser_feed(&parser, text, strlen(text), &used),
+	    ==, PARSE_COMPLETE);
+	answer = message_parser_take(&parser);
+	message_parser_clear(&parser);
+	g_free(text);
+	return answer;
+}
+
+/* Only the proofs that the platform names prove that a request did not run. */
+static void
+test_classify(void)
+{
+	static const struct {
+		unsigned status;
+		const char *fields;
+		enum wv_attempt_end end;
+	} cases[] = {
+	    {200, STAMP, WV_END_ANSWERED},
+	    {404, STAMP, WV_END_ANSWERED},
+	    {408, STAMP, WV_END_ANSWERED},
+	    {429, STAMP, WV_END_ANSWERED},
+	    {500, STAMP, WV_END_FAILED},
+	    {503, STAMP, WV_END_FAILED},
+	    {200, "", WV_END_BROKEN},
+	    {503, "", WV_END_BROKEN},
+	    {503, "X-Not-Executed: 1\r\n", WV_END_REJECTED},
+	    {429, "X-Not-Executed: 1\r\n" STAMP, WV_END_REJECTED},
+	    {421, "", WV_END_WRONG_SEARCHER},
+	    {421, "X-Instance-Id: i-2\r\n", WV_END_WRONG_SEARCHER},
+	    {421, "X-Instance-Id: " EXPECTED "\r\nX-Not-Executed: 1\r\n",
+		WV_END_WRONG_SEARCHER},
+	    {421, "X-Instance-Id: " EXPECTED "\r\n" STAMP, WV_END_ANSWERED},
+	    {421, "X-Instance-Id: " EXPECTED "\r\n", WV_END_BROKEN},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct message *answer =
+		    parse_answer(cases[i].status, cases[i].fields);
+
+		g_assert_cmpint(searcher_answer_classify(platform_get_adapter(),
+				    answer, wv_string_borrow(EXPECTED)),
+		    ==, cases[i].end);
+		message_destroy(answer);
+	}
+}
+
+/* Every status that promises "not run" is named, and no other one. */
+static void
+test_promises(void)
+{
+	for (unsigned status = 200; status < 600; status++) {
+		bool promises = status == 408 || status == 421 ||
+		    status == 429 || status == 503;
+
+		g_assert_true(status_promises_not_run(status) == promises);
+	}
+}
+
+/* Each form of Retry-After has its meaning; none of them is misread. */
+static void
+test_rest(void)
+{
+	static const struct {
+		unsigned status;
+		const char *value;
+		wv_msec rest;
+	} cases[] = {
+	    {503, "2", 2000},
+	    {503, "0.25", 250},
+	    {503, ".5", 500},
+	    {503, "0", 0},
+	    {503, "-1", 0},
+	    {503, "1e3", 0},
+	    {503, "0x10", 0},
+	    {503, "inf", 0},
+	    {503, "1.2.3", 0},
+	    {503, ".", 0},
+	    {503, "Wed, 21 Oct 2026 07:28:00 GMT", 0},
+	    {503, "99999999999999999999999999", MAX_REST},
+	    {500, "2", 0},
+	    {429, "2", 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *field =
+		    g_strdup_printf("Retry-After: %s\r\n", cases[i].value);
+		struct message *answer = parse_answer(cases[i].status, field);
+
+		g_assert_cmpfloat(
+		    searcher_answer_rest(answer), ==, cases[i].rest);
+		message_destroy(answer);
+		g_free(field);
+	}
+}
+
+/* Only the value 1 says that a searcher is leaving. */
+static void
+test_leaving(void)
+{
+	static const char *const fields[] = {"Server-Leaving: 1\r\n",
+	    "server-leaving: 1\r\n", "Server-Leaving: 0\r\n",
+	    "Server-Leaving: \r\n", ""};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		struct message *answer = parse_answer(200, fields[i]);
+
+		g_assert_true(searcher_answer_says_leaving(
+				  platform_get_adapter(), answer) == (i < 2));
+		message_destroy(answer);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/searcher-answer/classify", test_classify);
+	g_test_add_func("/searcher-answer/promises", test_promises);
+	g_test_add_func("/searcher-answer/rest", test_rest);
+	g_test_add_func("/searcher-answer/leaving", test_leaving);
+	return g_test_run();
+}
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -52,6 +52,8 @@
 	enum wv_attempt_end end;
 	bool success; /**< the answer reports success */
 	bool leaving; /**< the searcher says that it is leaving */
+	wv_msec rest; /**< the searcher asks for no requests so long, ms; 0:
+			   it does not */
 	void *message; /**< the answer or NULL; the dispatch takes ownership */
 };
 
--- a/wisteriavane/registry.h
+++ b/wisteriavane/registry.h
@@ -54,6 +54,7 @@
 	uint32_t slots; /**< concurrent requests, at least 1 */
 	bool draining; /**< takes no new requests, by its entry */
 	bool leaving; /**< takes no new requests, by its own answers */
+	wv_msec rests_until; /**< asked for no requests before, ms */
 	bool removed; /**< not in the registry; freed after its last attempt */
 	bool same_zone; /**< in the availability zone of this VM */
 	wv_msec removal_at; /**< entry is missing: when it is removed; else 0 */
@@ -133,6 +134,24 @@
 void wv_registry_set_leaving(
     struct wv_registry *registry, wv_msec now, struct wv_searcher *searcher);
 
+/**
+ * Records that a searcher has asked for no requests for a time. This holds for
+ * its incarnation like wv_registry_set_leaving(). A shorter time does not end a
+ * longer one.
+ *
+ * @param rest  ms
+ */
+void wv_registry_set_rest(struct wv_registry *registry, wv_msec now,
+    struct wv_searcher *searcher, wv_msec rest);
+
+/**
+ * Returns how long a service has no searcher that takes requests, only because
+ * all that would take some rest, ms; 0 if one takes requests now, and
+ * WV_MSEC_NEVER if there is none.
+ */
+wv_msec wv_registry_service_rest(
+    const struct wv_registry_service *service, wv_msec now);
+
 /**
  * Returns whether a searcher may get a request now, as a probe if it is lost.
  */
