--- a/soak/faults.c
+++ b/soak/faults.c
@@ -21,6 +21,10 @@
 /** Time after DRAIN_BOUND during which requests to it are counted, ms. */
 #define DRAIN_CHECK_TIME 1500.0
 
+/** Entry of another writer that can't be read. */
+#define UNREADABLE_NAME "i-unreadable"
+#define UNREADABLE_DEPTH 100
+
 /* A delayed action, such as the end of a fault. */
 struct action {
 	struct soak *soak;
@@ -223,8 +227,8 @@
 static void
 fail_searcher(struct soak *soak, wv_msec duration)
 {
-	static const char *const modes[] = {
-	    "dark", "shed", "fail", "break", "extra", "garbled"};
+	static const char *const modes[] = {"dark", "shed", "rest", "fail",
+	    "fail-429", "fail-503", "break", "extra", "stale", "garbled"};
 	unsigned i = random_below(soak, SOAK_SERVICES * SOAK_REPLICAS);
 	const char *mode = modes[random_below(soak, G_N_ELEMENTS(modes))];
 	char *id = searcher_id(i);
@@ -303,6 +307,42 @@
 	schedule_action(soak, DRAIN_BOUND, i, check_drained);
 }
 
+/* Watches must read the lists again, in pages. */
+static void
+discard_history(struct soak *soak)
+{
+	soak_record_fault(soak, "the store discards its history");
+	standin_store_discard_history(soak->store);
+}
+
+static void
+remove_unreadable(struct action *action)
+{
+	standin_store_remove(
+	    action->soak->store, STANDIN_KIND_SEARCHERS, UNREADABLE_NAME);
+	action_destroy(action);
+}
+
+/* Writes an entry of another writer that is nested too deeply to be parsed. */
+static void
+write_unreadable(struct soak *soak, wv_msec duration)
+{
+	JsonObject *spec = json_object_new();
+	JsonArray *array = json_array_new();
+
+	for (unsigned i = 0; i < UNREADABLE_DEPTH; i++) {
+		JsonArray *outer = json_array_new();
+
+		json_array_add_array_element(outer, array);
+		array = outer;
+	}
+	json_object_set_array_member(spec, "zone", array);
+	soak_record_fault(soak, "an entry can't be read for %.0f ms", duration);
+	standin_store_write(
+	    soak->store, STANDIN_KIND_SEARCHERS, UNREADABLE_NAME, spec);
+	schedule_action(soak, duration, 0, remove_unreadable);
+}
+
 static void
 change_routes(struct soak *soak)
 {
@@ -322,7 +362,7 @@
 	    soak->random, MIN_FAULT_DURATION, MAX_FAULT_DURATION);
 	unsigned vm = random_below(soak, soak->n_vms);
 
-	switch (random_below(soak, 12)) {
+	switch (random_below(soak, 15)) {
 	case 0:
 		pause_vm(soak, vm, duration);
 		break;
@@ -352,6 +392,15 @@
 	case 10:
 		drain_searcher(soak);
 		break;
+	case 11:
+		discard_history(soak);
+		break;
+	case 12:
+		write_unreadable(soak, duration);
+		break;
+	case 13:
+		fail_searcher(soak, duration);
+		break;
 	default:
 		change_routes(soak);
 		break;
--- a/soak/main.c
+++ b/soak/main.c
@@ -20,6 +20,8 @@
 #define TIME_AFTER_FAULTS 7500.0
 /** Interval at which the processes are checked, ms. */
 #define CHECK_INTERVAL 20
+/** Objects in a page of a list of the store. */
+#define PAGE_SIZE 4
 /** Maximum number of violations that are shown per run. */
 #define MAX_VIOLATIONS_SHOWN 20
 /** Ports per VM. */
@@ -146,6 +148,7 @@
 	soak->layout = (struct standin_searcher_config){
 	    SOAK_SERVICES, SOAK_REPLICAS, 4, 8};
 	soak->store = standin_store_create(soak->base, store);
+	standin_store_set_page_size(soak->store, PAGE_SIZE);
 	soak->searchers = standin_searchers_create(
 	    soak->base, &soak->layout, soak->ip, ports + 1 + n_links);
 	soak->routes_version = 1;
