--- a/src/peers_private.h
+++ b/src/peers_private.h
@@ -89,4 +89,16 @@
 /** Returns whether a VM that was not heard of may be alive. */
 bool peers_is_presumed_alive(const struct peer *peer, wv_msec now);
 
+/** Returns whether a VM is alive and reports itself as a hub. */
+bool peers_is_live_hub(const struct peer *peer, wv_msec now);
+
+/** Returns whether a VM precedes this one in the order of strength. */
+bool peers_is_stronger(const struct wv_peers *peers, const struct peer *peer);
+
+/** Returns whether this VM, as a leaf, is attached to a hub. */
+bool peers_is_attached_to(const struct wv_peers *peers, const struct peer *hub);
+
+/** Returns whether the VM with a hash is one of the other hubs. */
+bool peers_has_hub(const struct wv_peers *peers, uint64_t hash);
+
 #endif
