--- a/soak/faults.c
+++ b/soak/faults.c
@@ -33,6 +33,7 @@
 	unsigned index; /* of the VM or searcher */
 	uint64_t arrivals; /* at a draining searcher by DRAIN_BOUND */
 	unsigned stage; /* of check_drained() */
+	bool in_store; /* the searcher's entry says that it drains */
 };
 
 /* Returns a random number below n. */
@@ -273,7 +274,11 @@
 		event_add(action->timer, &time);
 		return;
 	}
-	if (arrivals != action->arrivals &&
+	/*
+	 * If only its answers say that it is leaving, VMs that restart or that
+	 * it has not answered yet don't know.
+	 */
+	if (action->in_store && arrivals != action->arrivals &&
 	    soak_now(soak) >
 		soak->store_affected_until + DRAIN_BOUND + DRAIN_CHECK_TIME)
 		soak_record_violation(soak,
@@ -281,6 +286,8 @@
 		    (unsigned)(arrivals - action->arrivals));
 	soak->incarnations[i]++;
 	soak->draining[i] = false;
+	standin_searchers_set_leaving(
+	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS, false);
 	write_searcher(soak, i, false);
 	action_destroy(action);
 }
@@ -294,6 +301,7 @@
 	 */
 	unsigned i = random_below(soak, SOAK_SERVICES) * SOAK_REPLICAS + 1 +
 	    random_below(soak, SOAK_REPLICAS - 1);
+	bool in_answers, in_store;
 
 	/*
 	 * A second drain must not overlap the first: requests that arrive
@@ -302,9 +310,16 @@
 	if (soak->draining[i])
 		return;
 	soak->draining[i] = true;
-	soak_record_fault(soak, "searcher %u drains", i);
-	write_searcher(soak, i, true);
-	schedule_action(soak, DRAIN_BOUND, i, check_drained);
+	in_answers = random_below(soak, 2) == 0;
+	in_store = !in_answers || random_below(soak, 2) == 0;
+	soak_record_fault(soak, "searcher %u drains, by its%s%s", i,
+	    in_store ? " entry" : "", in_answers ? " answers" : "");
+	standin_searchers_set_leaving(
+	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS, in_answers);
+	if (in_store)
+		write_searcher(soak, i, true);
+	schedule_action(soak, DRAIN_BOUND, i, check_drained)->in_store =
+	    in_store;
 }
 
 /* Watches must read the lists again, in pages. */
