--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -479,7 +479,7 @@
 /*
  * Returns the result to answer with. A searcher's answer that is relayed does
  * not prove that the request did not run, so it must not reach the caller with
- * a status that promises this.
+ * a status that promises this; it is released instead.
  */
 static struct wv_result
 remove_false_promise(const struct wv_result *result)
--- a/src/peers_reports.c
+++ b/src/peers_reports.c
@@ -26,8 +26,8 @@
  */
 #define SEARCH_DELAY 2
 #define MIN_SEARCH 4
-/** Greatest number of times that it doubles. */
-#define MAX_SEARCH_DOUBLINGS 16
+/** Number of times that it doubles: a round's reports are a burst. */
+#define MAX_SEARCH_DOUBLINGS 7
 /** Shortest time between two lists of all hubs to the same hub, ms. */
 #define HUB_LIST_INTERVAL 1000.0
 
@@ -330,14 +330,15 @@
 {
 	GHashTableIter iter;
 	gpointer value;
-	unsigned left;
+	unsigned most, left;
 
 	peers->lonely_rounds =
 	    knows_stronger_hub(peers, now) ? 0 : peers->lonely_rounds + 1;
 	if (!is_searching(peers))
 		return;
-	left = MIN_SEARCH << MIN(peers->lonely_rounds - SEARCH_DELAY - 1,
+	most = MIN_SEARCH << MIN(peers->lonely_rounds - SEARCH_DELAY - 1,
 		   MAX_SEARCH_DOUBLINGS);
+	left = most;
 	g_hash_table_iter_init(&iter, peers->table);
 	while (left > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct peer *peer = value;
@@ -349,6 +350,9 @@
 		add_target(targets, now, peer)->introduces = true;
 		left--;
 	}
+	/* All were asked, or none is listed yet: begin anew with a few. */
+	if (left == most)
+		peers->lonely_rounds = SEARCH_DELAY;
 }
 
 struct wv_peer_target
