--- a/test/test_searcher_answer.c
+++ b/test/test_searcher_answer.c
@@ -36,26 +36,26 @@
 test_classify(void)
 {
 	static const struct {
-		unsigned status;
 		const char *fields;
+		unsigned status;
 		enum wv_attempt_end end;
 	} cases[] = {
-	    {200, STAMP, WV_END_ANSWERED},
-	    {404, STAMP, WV_END_ANSWERED},
-	    {408, STAMP, WV_END_ANSWERED},
-	    {429, STAMP, WV_END_ANSWERED},
-	    {500, STAMP, WV_END_FAILED},
-	    {503, STAMP, WV_END_FAILED},
-	    {200, "", WV_END_BROKEN},
-	    {503, "", WV_END_BROKEN},
-	    {503, "X-Not-Executed: 1\r\n", WV_END_REJECTED},
-	    {429, "X-Not-Executed: 1\r\n" STAMP, WV_END_REJECTED},
-	    {421, "", WV_END_WRONG_SEARCHER},
-	    {421, "X-Instance-Id: i-2\r\n", WV_END_WRONG_SEARCHER},
-	    {421, "X-Instance-Id: " EXPECTED "\r\nX-Not-Executed: 1\r\n",
+	    {STAMP, 200, WV_END_ANSWERED},
+	    {STAMP, 404, WV_END_ANSWERED},
+	    {STAMP, 408, WV_END_ANSWERED},
+	    {STAMP, 429, WV_END_ANSWERED},
+	    {STAMP, 500, WV_END_FAILED},
+	    {STAMP, 503, WV_END_FAILED},
+	    {"", 200, WV_END_BROKEN},
+	    {"", 503, WV_END_BROKEN},
+	    {"X-Not-Executed: 1\r\n", 503, WV_END_REJECTED},
+	    {"X-Not-Executed: 1\r\n" STAMP, 429, WV_END_REJECTED},
+	    {"", 421, WV_END_WRONG_SEARCHER},
+	    {"X-Instance-Id: i-2\r\n", 421, WV_END_WRONG_SEARCHER},
+	    {"X-Instance-Id: " EXPECTED "\r\nX-Not-Executed: 1\r\n", 421,
 		WV_END_WRONG_SEARCHER},
-	    {421, "X-Instance-Id: " EXPECTED "\r\n" STAMP, WV_END_ANSWERED},
-	    {421, "X-Instance-Id: " EXPECTED "\r\n", WV_END_BROKEN},
+	    {"X-Instance-Id: " EXPECTED "\r\n" STAMP, 421, WV_END_ANSWERED},
+	    {"X-Instance-Id: " EXPECTED "\r\n", 421, WV_END_BROKEN},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -86,24 +86,24 @@
 test_rest(void)
 {
 	static const struct {
-		unsigned status;
 		const char *value;
+		unsigned status;
 		wv_msec rest;
 	} cases[] = {
-	    {503, "2", 2000},
-	    {503, "0.25", 250},
-	    {503, ".5", 500},
-	    {503, "0", 0},
-	    {503, "-1", 0},
-	    {503, "1e3", 0},
-	    {503, "0x10", 0},
-	    {503, "inf", 0},
-	    {503, "1.2.3", 0},
-	    {503, ".", 0},
-	    {503, "Wed, 21 Oct 2026 07:28:00 GMT", 0},
-	    {503, "99999999999999999999999999", MAX_REST},
-	    {500, "2", 0},
-	    {429, "2", 0},
+	    {"2", 503, 2000},
+	    {"0.25", 503, 250},
+	    {".5", 503, 500},
+	    {"0", 503, 0},
+	    {"-1", 503, 0},
+	    {"1e3", 503, 0},
+	    {"0x10", 503, 0},
+	    {"inf", 503, 0},
+	    {"1.2.3", 503, 0},
+	    {".", 503, 0},
+	    {"Wed, 21 Oct 2026 07:28:00 GMT", 503, 0},
+	    {"99999999999999999999999999", 503, MAX_REST},
+	    {"2", 500, 0},
+	    {"2", 429, 0},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
