--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -126,7 +126,7 @@
 }
 
 static void
-note_leaving(struct entry *entry, const struct wv_searcher *searcher)
+record_leaving(struct entry *entry, const struct wv_searcher *searcher)
 {
 	wv_counter_add(&entry->metrics.searchers_leaving, 1);
 	log_line(entry->log, LOG_CHANGE, "searcher_leaving",
@@ -136,7 +136,8 @@
 }
 
 static void
-note_rest(struct entry *entry, const struct wv_searcher *searcher, wv_msec rest)
+record_rest(
+    struct entry *entry, const struct wv_searcher *searcher, wv_msec rest)
 {
 	wv_counter_add(&entry->metrics.searchers_resting, 1);
 	log_line(entry->log, LOG_FAILURE, "searcher_rests",
@@ -164,10 +165,10 @@
 	reply.leaving = reply.end != WV_END_WRONG_SEARCHER &&
 	    searcher_answer_says_leaving(entry->adapter, answer);
 	if (reply.leaving && !attempt->searcher->leaving)
-		note_leaving(entry, attempt->searcher);
+		record_leaving(entry, attempt->searcher);
 	reply.rest = searcher_answer_rest(answer);
 	if (reply.rest > 0)
-		note_rest(entry, attempt->searcher, reply.rest);
+		record_rest(entry, attempt->searcher, reply.rest);
 	reply.success = answer->status >= 200 && answer->status < 300;
 	reply.message = answer;
 	if (reply.end == WV_END_BROKEN) {
--- a/src/peers_private.h
+++ b/src/peers_private.h
@@ -66,7 +66,8 @@
 	bool is_hub;
 	struct attachment attachments[N_ATTACHMENTS];
 	uint64_t rounds; /**< rounds of reports sent */
-	unsigned lonely_rounds; /**< rounds since a stronger hub was alive */
+	unsigned
+	    rounds_without_hub; /**< rounds since a stronger hub was alive */
 	guint introduced; /**< VMs that it was the turn of so far */
 	bool report_due; /**< a leaf reports in the next round */
 };
--- a/src/peers_reports.c
+++ b/src/peers_reports.c
@@ -34,7 +34,7 @@
 static bool
 is_searching(const struct wv_peers *peers)
 {
-	return peers->lonely_rounds > SEARCH_DELAY;
+	return peers->rounds_without_hub > SEARCH_DELAY;
 }
 
 wv_msec
@@ -332,11 +332,11 @@
 	gpointer value;
 	unsigned most, left;
 
-	peers->lonely_rounds =
-	    knows_stronger_hub(peers, now) ? 0 : peers->lonely_rounds + 1;
+	peers->rounds_without_hub =
+	    knows_stronger_hub(peers, now) ? 0 : peers->rounds_without_hub + 1;
 	if (!is_searching(peers))
 		return;
-	most = MIN_SEARCH << MIN(peers->lonely_rounds - SEARCH_DELAY - 1,
+	most = MIN_SEARCH << MIN(peers->rounds_without_hub - SEARCH_DELAY - 1,
 		   MAX_SEARCH_DOUBLINGS);
 	left = most;
 	g_hash_table_iter_init(&iter, peers->table);
@@ -352,7 +352,7 @@
 	}
 	/* All were asked, or none is listed yet: begin anew with a few. */
 	if (left == most)
-		peers->lonely_rounds = SEARCH_DELAY;
+		peers->rounds_without_hub = SEARCH_DELAY;
 }
 
 struct wv_peer_target
