--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -61,6 +61,8 @@
 	 */
 	if (follower->listed)
 		wv_change_log_announce_listing(follower->changes);
+	else
+		follower->listed_by_store = !follower->from_peer;
 	follower->listed = true;
 	if (follower->kind != STORE_SEARCHERS)
 		return;
--- a/entry/store_request.c
+++ b/entry/store_request.c
@@ -24,7 +24,8 @@
 	case PHASE_FOLLOW:
 		return adapter->watch_path(follower->kind,
 		    wv_change_log_revision(follower->changes),
-		    STORE_WATCH_WAIT);
+		    follower->catches_up ? STORE_CATCH_UP_WAIT
+					 : STORE_WATCH_WAIT);
 	case PHASE_REPLACE:
 		return adapter->object_path(
 		    follower->kind, entry->settings->vm);
--- a/entry/store_source.c
+++ b/entry/store_source.c
@@ -33,6 +33,12 @@
 	    entry_now(entry) - entry->started_at < MAX_VMS_WAIT;
 }
 
+bool
+store_may_watch(const struct follower *follower)
+{
+	return follower->sync->watching || follower->catches_up;
+}
+
 const char *
 store_find_peer(const struct follower *follower)
 {
@@ -42,7 +48,7 @@
 	if (!store_is_followed(follower) || store_is_write(follower) ||
 	    (list && !awaits_hub(follower) &&
 		follower->failures < MAX_LIST_FAILURES) ||
-	    (!list && follower->sync->watching &&
+	    (!list && store_may_watch(follower) &&
 		!store_sync_has_failed(follower->sync)))
 		return "";
 	return wv_peers_find_ahead(entry->peers, entry_now(entry),
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -36,6 +36,11 @@
 #define HUB_CHECK_INTERVAL 50.0
 /** Time after the start before this VM may become a watcher, ms. */
 #define WATCH_START_DELAY 600.0
+/**
+ * Time after the start after which a VM that has not watched reads changes once
+ * from the store, ms: VMs that start at the same time have their lists by then.
+ */
+#define CATCH_UP_DELAY 2000.0
 /** Shortest outage in which registrations may expire, ms. */
 #define MIN_OUTAGE 400.0
 
@@ -221,8 +226,6 @@
 static void
 schedule_next_call(struct follower *follower, bool was_following)
 {
-	struct store_sync *sync = follower->sync;
-
 	event_del(follower->timer);
 	if (follower->phase == PHASE_DONE)
 		store_close_client(follower);
@@ -230,7 +233,7 @@
 		store_set_timer(follower, STALE_LIST_DELAY);
 	else if (follower->phase != PHASE_FOLLOW)
 		store_set_timer(follower, 0);
-	else if (sync->watching)
+	else if (store_may_watch(follower))
 		store_set_timer(follower, was_following ? BATCH_DELAY : 0);
 }
 
@@ -252,6 +255,8 @@
 	follower->backoff = MIN_BACKOFF;
 	if (!follower->from_peer)
 		record_answer(follower);
+	if (was_following && !follower->from_peer)
+		follower->catches_up = false;
 	if (!client_is_reusable(client))
 		store_close_client(follower);
 	schedule_next_call(follower, was_following);
@@ -321,7 +326,7 @@
 		store_restart_list(follower);
 	if (follower->from_peer)
 		send_call(follower, peer);
-	else if (follower->phase != PHASE_FOLLOW || sync->watching)
+	else if (follower->phase != PHASE_FOLLOW || store_may_watch(follower))
 		send_call(follower, sync->entry->settings->store);
 }
 
@@ -353,6 +358,26 @@
 	return entry_now(sync->entry) - sync->failed_at < FAILED_PERIOD;
 }
 
+/*
+ * Makes followers that read their first list from the store read the changes
+ * since then, once. The watchers announce changes after their own first lists
+ * only; one that falls between the lists of two VMs is none for the watcher.
+ */
+static void
+catch_up(struct store_sync *sync)
+{
+	sync->caught_up = true;
+	for (int i = 0; i < STORE_KIND_COUNT; i++) {
+		struct follower *follower = &sync->followers[i];
+
+		if (!store_is_followed(follower) || !follower->listed_by_store)
+			continue;
+		follower->catches_up = true;
+		if (follower->phase == PHASE_FOLLOW && !follower->calling)
+			store_set_timer(follower, 0);
+	}
+}
+
 void
 store_sync_update_role(struct store_sync *sync)
 {
@@ -361,10 +386,15 @@
 	struct wv_peer_role role =
 	    wv_peers_get_role(entry->peers, now, store_sync_has_failed(sync));
 
-	if (now - entry->started_at < WATCH_START_DELAY ||
-	    role.is_watcher == sync->watching)
+	if (now - entry->started_at < WATCH_START_DELAY)
+		return;
+	if (!sync->caught_up && !role.is_watcher &&
+	    now - entry->started_at >= CATCH_UP_DELAY)
+		catch_up(sync);
+	if (role.is_watcher == sync->watching)
 		return;
 	sync->watching = role.is_watcher;
+	sync->caught_up |= role.is_watcher;
 	log_line(entry->log, LOG_CHANGE, "store_watching",
 	    "\"watching\":%s,\"vms\":%u", sync->watching ? "true" : "false",
 	    role.vms);
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -15,6 +15,8 @@
  * VMs must receive a change within 3 s, in this case too.
  */
 #define STORE_WATCH_WAIT 1000
+/** The same for the call by which a VM catches up, ms. */
+#define STORE_CATCH_UP_WAIT 1
 
 /** Failed calls for a list after which it is requested from another VM. */
 #define MAX_LIST_FAILURES 2
@@ -49,6 +51,9 @@
 				of changes that another one has */
 	bool found_self; /**< the list has this VM's registration */
 	bool listed; /**< a list has been read since the start */
+	bool listed_by_store; /**< the first one came from the store */
+	bool catches_up; /**< the changes after its first list are read from
+			    the store, once, though this VM does not watch */
 	bool after_outage; /**< the next changes follow an outage of the
 				store */
 	char *list_after; /**< owned: last name of the list's previous page */
@@ -66,6 +71,7 @@
 	bool lost; /**< calls of the store have failed since the last
 			   answer */
 	bool watching; /**< this VM watches the store directly */
+	bool caught_up; /**< it has watched, or has begun to catch up */
 	wv_msec lost_at; /**< time of the first of these failures */
 	wv_msec failed_at; /**< last time that calls of the store failed
 				MIN_FAILURES times in a row, or one timed
@@ -125,6 +131,9 @@
  */
 bool store_apply_body(struct follower *follower, const struct message *answer);
 
+/** Returns whether changes are read from the store itself. */
+bool store_may_watch(const struct follower *follower);
+
 /**
  * Returns the address IP:PORT of another VM to call instead of the store, or ""
  * to call the store. Borrowed.
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -226,11 +226,10 @@
 	sigprocmask(SIG_BLOCK, &signals, NULL);
 }
 
-/* Starts another VM. */
+/* Starts VM i. At the end, all up to the last one must have been started. */
 static inline void
-start_vm(struct fixture *fixture)
+start_vm_number(struct fixture *fixture, unsigned i)
 {
-	unsigned i = fixture->n_vms++;
 	struct vm *vm = &fixture->vms[i];
 	const unsigned int *ports =
 	    fixture->ports + 1 + N_SERVICES * N_REPLICAS + (size_t)i * VM_PORTS;
@@ -264,11 +263,19 @@
 	    NULL);
 	g_assert_nonnull(vm->process);
 	g_object_unref(launcher);
+	fixture->n_vms = MAX(fixture->n_vms, i + 1);
 	g_free(link);
 	g_free(name);
 	g_free(text);
 }
 
+/* Starts another VM. */
+static inline void
+start_vm(struct fixture *fixture)
+{
+	start_vm_number(fixture, fixture->n_vms);
+}
+
 /* Stops a VM by SIGTERM; it must exit by itself, with success. */
 static inline void
 stop_vm(struct fixture *fixture, struct vm *vm)
--- a/test/test_entry_lists.c
+++ b/test/test_entry_lists.c
@@ -24,6 +24,8 @@
 #define DEAF_CAPACITY 1000
 /** VMs that watch the store directly. */
 #define N_WATCHERS 3
+/** The last of N_VMS VMs in the order in which they watch the store. */
+#define LAST_WATCHER 2
 /** Index of the peers' port among the ports of a VM. */
 #define PEERS_PORT 3
 
@@ -240,6 +242,33 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * A VM that read its lists before a change, and never watched the store, gets
+ * the change though the watchers have it from their first lists already, so
+ * that it is none for them.
+ */
+static void
+test_change_between_lists(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	const struct vm *last = &fixture->vms[LAST_WATCHER];
+
+	open_store(fixture);
+	start_vm_number(fixture, LAST_WATCHER);
+	g_assert_true(wait_logged(fixture, last, "\"version\":1,"));
+	write_routes(fixture, 2);
+	for (unsigned i = 0; i < N_VMS; i++) {
+		if (i != LAST_WATCHER)
+			start_vm_number(fixture, i);
+	}
+	run_for(fixture, MAX_CHANGE_TIME + LOG_DELAY);
+	for (unsigned i = 0; i < N_VMS; i++)
+		g_assert_true(has_logged(&fixture->vms[i],
+				  "\"store_watching\"") == (i != LAST_WATCHER));
+	g_assert_true(has_logged(last, "\"version\":2,"));
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -248,5 +277,7 @@
 	g_test_add_func("/entry-lists/interrupted", test_interrupted);
 	g_test_add_func("/entry-lists/deaf-vm", test_deaf_vm);
 	g_test_add_func("/entry-lists/deaf-source", test_deaf_source);
+	g_test_add_func(
+	    "/entry-lists/change-between-lists", test_change_between_lists);
 	return g_test_run();
 }
