Log why an entry server ends before it serves

A process that could not listen on an address or read its settings left an unstructured line on standard error only, and nothing in its log. It now writes a line start_failed with the reason to standard output, so that a log tells this end from one by a signal, which leaves no line.

Seen: with the callers' port held by another socket, the line names the address and 'Address already in use'; exit code 1 as before.

--- a/entry/main.c
+++ b/entry/main.c
@@ -36,15 +36,42 @@
 #define REFUSE_MARGIN 1500.0
 #define REFUSE_FRACTION 0.25
 
-/* Reads settings and prints all faults on standard error. */
+/** Size of the buffer for a reason in a log line, bytes with the NUL. */
+#define LOG_TEXT_SIZE 200
+
+/*
+ * Writes the line that names why the process ends before it serves, in the
+ * format of the log, which may not exist yet.
+ */
+static void
+log_start_failure(const char *vm, const char *reason)
+{
+	struct wv_clock clock;
+	char escaped[LOG_TEXT_SIZE];
+
+	system_clock_init(&clock);
+	log_escape(wv_string_borrow(reason), escaped, sizeof(escaped));
+	printf("{\"time_ms\":%.0f,\"vm\":\"%s\","
+	       "\"event\":\"start_failed\",\"reason\":\"%s\"}\n",
+	    wv_clock_unix_time(&clock), vm, escaped);
+	fflush(stdout);
+}
+
+/*
+ * Reads settings and prints all faults on standard error.
+ *
+ * starting: whether to log a fault as the reason why the process ends
+ */
 static struct entry_settings *
-read_settings(const char *file)
+read_settings(const char *file, bool starting)
 {
 	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
 	struct entry_settings *settings = entry_settings_read(file, faults);
 
 	for (guint i = 0; i < faults->len; i++)
 		fprintf(stderr, "%s: %s\n", file, (char *)faults->pdata[i]);
+	if (settings == NULL && starting)
+		log_start_failure("", faults->pdata[0]);
 	g_ptr_array_unref(faults);
 	return settings;
 }
@@ -52,7 +79,7 @@
 static int
 check_settings(const char *file)
 {
-	struct entry_settings *settings = read_settings(file);
+	struct entry_settings *settings = read_settings(file, false);
 
 	if (settings == NULL)
 		return OPTIONS_EXIT_SETTINGS;
@@ -245,7 +272,19 @@
 	return event;
 }
 
-/* Listens on an address; prints an error and returns NULL on failure. */
+/* Reports that an address can't be listened on, with errno. */
+static void
+report_address(const struct entry *entry, const char *address)
+{
+	char *reason =
+	    g_strdup_printf("%s: cannot listen: %s", address, strerror(errno));
+
+	fprintf(stderr, "%s\n", reason);
+	log_start_failure(entry->settings->vm, reason);
+	g_free(reason);
+}
+
+/* Listens on an address; reports an error and returns NULL on failure. */
 static struct server *
 open_server(
     struct entry *entry, const char *address, const struct server_ops *ops)
@@ -253,8 +292,7 @@
 	struct server *server = server_create(entry->base, address, ops, entry);
 
 	if (server == NULL)
-		fprintf(stderr, "%s: cannot listen: %s\n", address,
-		    strerror(errno));
+		report_address(entry, address);
 	return server;
 }
 
@@ -265,8 +303,7 @@
 
 	entry->gateway = gateway_create(entry);
 	if (entry->gateway == NULL) {
-		fprintf(stderr, "%s: cannot listen: %s\n", settings->callers,
-		    strerror(errno));
+		report_address(entry, settings->callers);
 		return false;
 	}
 	entry->address_server =
@@ -284,8 +321,7 @@
 	entry_update_limits(entry);
 	entry->reports = reports_create(entry);
 	if (entry->reports == NULL)
-		fprintf(stderr, "%s: cannot open: %s\n", settings->peers,
-		    strerror(errno));
+		report_address(entry, settings->peers);
 	return entry->reports != NULL;
 }
 
@@ -336,7 +372,7 @@
 	struct process process = {0};
 	struct entry *entry = &process.entry;
 
-	entry->settings = read_settings(file);
+	entry->settings = read_settings(file, true);
 	if (entry->settings == NULL)
 		return OPTIONS_EXIT_SETTINGS;
 	entry->settings_file = g_strdup(file);
