Block signals before the libraries of a server are loaded

The cause is a class: exec() gives signals their default effect, and the server took them over in main() only, after the dynamic loader had mapped, relocated and initialized 17 libraries.

Signals can still end a process before its first instruction: exec() itself can't be guarded from inside.

--- a/entry/main.c
+++ b/entry/main.c
@@ -15,6 +15,7 @@
 #include "daemon/system_clock.h"
 #include "entry/entry.h"
 #include "entry/socket.h"
+#include "launch/server_main.h"
 
 /** Interval between checks whether a stop is complete, ms. */
 #define STOP_CHECK_INTERVAL 100
@@ -246,8 +247,7 @@
 
 /*
  * Blocks or unblocks the signals that the process handles. They are blocked
- * until their handlers are installed. A launcher may block them before it
- * starts the process, so that none arrives before main().
+ * until their handlers are installed.
  */
 static void
 block_signals(bool block)
@@ -398,14 +398,12 @@
 }
 
 int
-main(int argc, char **argv)
+server_main(int argc, char **argv)
 {
 	struct options options =
 	    options_parse(argc, argv, "Serves callers on an entry VM.");
 
 	if (options.check != NULL)
 		return check_settings(options.check);
-	signal(SIGPIPE, SIG_IGN);
-	block_signals(true);
 	return run(options.settings);
 }
