Let a server exist before it listens

server_create() could only fail as a whole when its address was in use. A server can now be created first and listen later, so that a start can wait for the address. Also keep errno over the close of a socket that could not be bound. No change of behaviour.

--- a/entry/server.c
+++ b/entry/server.c
@@ -421,26 +421,49 @@
 }
 
 struct server *
-server_create(struct event_base *base, const char *address,
-    const struct server_ops *ops, void *data)
+server_create_closed(
+    struct event_base *base, const struct server_ops *ops, void *data)
 {
-	int fd = socket_listen(address, BACKLOG);
-	struct server *server;
+	struct server *server = g_new0(struct server, 1);
 
-	if (fd < 0)
-		return NULL;
-	server = g_new0(struct server, 1);
 	server->base = base;
 	server->ops = ops;
 	server->data = data;
-	server->fd = fd;
+	server->fd = -1;
 	server->limits = default_limits;
-	server->accept =
-	    event_new(base, fd, EV_READ | EV_PERSIST, on_accept, server);
-	event_add(server->accept, NULL);
 	return server;
 }
 
+bool
+server_listen(struct server *server, const char *address)
+{
+	server->fd = socket_listen(address, BACKLOG);
+	if (server->fd < 0)
+		return false;
+	server->accept = event_new(
+	    server->base, server->fd, EV_READ | EV_PERSIST, on_accept, server);
+	event_add(server->accept, NULL);
+	return true;
+}
+
+bool
+server_is_listening(const struct server *server)
+{
+	return server->accept != NULL;
+}
+
+struct server *
+server_create(struct event_base *base, const char *address,
+    const struct server_ops *ops, void *data)
+{
+	struct server *server = server_create_closed(base, ops, data);
+
+	if (server_listen(server, address))
+		return server;
+	g_free(server);
+	return NULL;
+}
+
 void
 server_stop_listening(struct server *server)
 {
--- a/entry/server.h
+++ b/entry/server.h
@@ -52,6 +52,25 @@
 struct server *server_create(struct event_base *base, const char *address,
     const struct server_ops *ops, void *data);
 
+/**
+ * Creates a server that does not listen yet.
+ *
+ * @param ops   borrowed
+ * @param data  passed to the callbacks
+ * @return the server, which the caller owns
+ */
+struct server *server_create_closed(
+    struct event_base *base, const struct server_ops *ops, void *data);
+
+/**
+ * Begins to listen on an address (IP:PORT); the server must not listen yet.
+ * Returns false with errno if the address can't be bound.
+ */
+bool server_listen(struct server *server, const char *address);
+
+/** Returns whether the server accepts connections. */
+bool server_is_listening(const struct server *server);
+
 /** Closes all connections and releases the server. */
 void server_destroy(struct server *server);
 
--- a/entry/socket.c
+++ b/entry/socket.c
@@ -48,6 +48,16 @@
 	return true;
 }
 
+/* Closes a socket after a failure; errno keeps the reason. */
+static void
+close_keeping_errno(int fd)
+{
+	int error = errno;
+
+	close(fd);
+	errno = error;
+}
+
 /* Opens a socket bound to an address; returns -1 with errno on failure. */
 static int
 open_bound(const char *address, int type)
@@ -65,7 +75,7 @@
 		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (struct sockaddr *)&parsed, sizeof(parsed)) != 0) {
-		close(fd);
+		close_keeping_errno(fd);
 		return -1;
 	}
 	return fd;
@@ -77,7 +87,7 @@
 	int fd = open_bound(address, SOCK_STREAM);
 
 	if (fd >= 0 && listen(fd, backlog) != 0) {
-		close(fd);
+		close_keeping_errno(fd);
 		return -1;
 	}
 	return fd;
@@ -133,7 +143,7 @@
 	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT);
 	if (connect(fd, (struct sockaddr *)&parsed, sizeof(parsed)) != 0 &&
 	    errno != EINPROGRESS) {
-		close(fd);
+		close_keeping_errno(fd);
 		return -1;
 	}
 	return fd;
