Leave standard output blocking for the processes that share it

What was seen: after a start, the launcher's end of a shared pipe was non-blocking. O_NONBLOCK belongs to the open file, so writes of the launcher and of every other process with that output failed with EAGAIN once the pipe was full, which ends programs that don't expect it. The log now opens a pipe or terminal anew for itself, and sends to a socket without waiting; only if that is not permitted is the shared file changed. log_set_vm() lets a log begin before the settings are read.

--- a/entry/log.c
+++ b/entry/log.c
@@ -6,6 +6,8 @@
 #include <fcntl.h>
 #include <limits.h>
 #include <stdarg.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "entry/log.h"
@@ -27,6 +29,8 @@
 	struct wv_string vm; /* owned */
 	GString *buffer;
 	int fd;
+	bool owns_fd; /* opened by the log */
+	bool is_socket; /* written by send(), which can be non-blocking */
 	uint64_t dropped; /* lines, since the start */
 	double detail_tokens; /* token bucket: details allowed now */
 	wv_msec refilled_at; /* when the bucket was last refilled */
@@ -48,6 +52,14 @@
 	return n > 0 ? n : max;
 }
 
+static ssize_t
+write_piece(const struct log *log, const char *text, size_t length)
+{
+	if (log->is_socket)
+		return send(log->fd, text, length, MSG_DONTWAIT | MSG_NOSIGNAL);
+	return write(log->fd, text, length);
+}
+
 static void
 flush(struct log *log)
 {
@@ -56,7 +68,7 @@
 	ssize_t n = 1;
 
 	while (written < buffer->len && n > 0) {
-		n = write(log->fd, buffer->str + written,
+		n = write_piece(log, buffer->str + written,
 		    next_write_length(
 			buffer->str + written, buffer->len - written));
 		if (n > 0)
@@ -78,6 +90,33 @@
 		event_add(log->timer, &time);
 }
 
+/*
+ * Makes the output non-blocking. O_NONBLOCK belongs to the open file that all
+ * processes with this output share, so a pipe or terminal is opened anew; only
+ * if that fails is the shared one changed. Writes to files don't block.
+ */
+static void
+open_output(struct log *log, int fd)
+{
+	char path[sizeof("/proc/self/fd/") + 3 * sizeof(int)];
+	struct stat status = {0};
+
+	log->fd = fd;
+	if (fstat(fd, &status) != 0 || S_ISREG(status.st_mode))
+		return;
+	if (S_ISSOCK(status.st_mode)) {
+		log->is_socket = true;
+		return;
+	}
+	g_snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
+	log->fd = open(path, O_WRONLY | O_NONBLOCK | O_CLOEXEC | O_NOCTTY);
+	log->owns_fd = log->fd >= 0;
+	if (log->owns_fd)
+		return;
+	log->fd = fd;
+	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+}
+
 struct log *
 log_create(struct event_base *base, struct wv_clock *clock, int fd,
     struct wv_string vm)
@@ -85,20 +124,28 @@
 	struct log *log = g_new0(struct log, 1);
 
 	log->clock = clock;
-	log->fd = fd;
 	log->vm = wv_string_copy(vm);
 	log->buffer = g_string_new(NULL);
 	log->timer = event_new(base, -1, 0, on_timer, log);
 	log->detail_tokens = MAX_DETAILS_PER_SECOND;
 	log->refilled_at = wv_clock_now(clock);
-	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+	open_output(log, fd);
 	return log;
 }
 
+void
+log_set_vm(struct log *log, struct wv_string vm)
+{
+	wv_string_clear(&log->vm);
+	log->vm = wv_string_copy(vm);
+}
+
 void
 log_destroy(struct log *log)
 {
 	flush(log);
+	if (log->owns_fd)
+		close(log->fd);
 	event_free(log->timer);
 	wv_string_clear(&log->vm);
 	g_string_free(log->buffer, TRUE);
--- a/entry/log.h
+++ b/entry/log.h
@@ -24,8 +24,9 @@
 };
 
 /**
- * Creates a log that writes to a descriptor, which is made non-blocking and is
- * not closed by the log.
+ * Creates a log that writes to a descriptor and never waits for its reader.
+ * The descriptor is not closed by the log. Where the system permits it, it
+ * stays blocking for the other processes that share it.
  *
  * @param clock  borrowed
  * @param vm     name of the VM, a member of each line; copied
@@ -33,6 +34,9 @@
 struct log *log_create(struct event_base *base, struct wv_clock *clock, int fd,
     struct wv_string vm);
 
+/** Sets the name of the VM for further lines; copied. */
+void log_set_vm(struct log *log, struct wv_string vm);
+
 /**
  * Writes the buffered lines, as far as that is possible without blocking, and
  * releases the log.
