Don't share the port of datagrams with an earlier process

SO_REUSEADDR lets two sockets for datagrams be bound to one address. While the former process of a VM was still there, the new one was bound beside it, and each datagram went to one of the two. The address is now in use until the former process is gone.

test_start_obstacles (port-in-use/peers-datagrams) failed with the option and passes without it.

--- a/entry/socket.c
+++ b/entry/socket.c
@@ -73,7 +73,12 @@
 	fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	/*
+	 * Connections of an earlier process that are not gone yet must not hold
+	 * the port. With datagrams, two processes would share it.
+	 */
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (struct sockaddr *)&parsed, sizeof(parsed)) != 0) {
 		close_keeping_errno(fd);
 		return -1;
