Wait at a start for what passes by itself

A start ended with exit code 1 if any of its addresses was in use, and with 2 if its settings file was missing or half written, and again at each restart until the obstacle was gone; that of the metrics, which serve operators only, included.

It is not ready, and not named to callers, before it listens for them. A stop that is requested meanwhile is a planned stop. The settings file is marked as read before it is read, so that a change during the start is not missed.

The addresses, the pages and the life of the process are separate files now.

--- a/daemon/options.h
+++ b/daemon/options.h
@@ -8,6 +8,8 @@
 
 /** Exit code of the process if the settings are invalid. */
 #define OPTIONS_EXIT_SETTINGS 2
+/** Exit code of the process if an address can never be listened on. */
+#define OPTIONS_EXIT_ADDRESS 3
 
 /** Parsed options. Strings are borrowed from argv or the environment. */
 struct options {
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -23,7 +23,8 @@
 bool
 entry_is_ready(const struct entry *entry)
 {
-	return entry->routes != NULL && entry->searchers_known;
+	return entry->routes != NULL && entry->searchers_known &&
+	    server_is_listening(gateway_server(entry->gateway));
 }
 
 void
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -58,7 +58,10 @@
 /** Returns the monotonic time, ms. */
 wv_msec entry_now(const struct entry *entry);
 
-/** Returns whether routes and searchers are known, so that requests can run. */
+/**
+ * Returns whether callers can be served: this VM listens for them and knows
+ * routes and searchers.
+ */
 bool entry_is_ready(const struct entry *entry);
 
 /**
@@ -78,8 +81,8 @@
 
 /** @name Callers' requests */
 /**
- * Creates the registry, the dispatcher and the server of callers. Returns NULL
- * with errno if the callers' address can't be bound.
+ * Creates the registry, the dispatcher and the server of callers, which does
+ * not listen yet.
  */
 struct gateway *gateway_create(struct entry *entry);
 /** Aborts requests in progress and releases what gateway_create() created. */
@@ -122,15 +125,29 @@
     const struct message *message);
 
 /** @name Reports between VMs */
-/** Begins to send reports; returns NULL with errno if there is no socket. */
+/** Creates the reports; reports_open() lets them be sent and received. */
 struct reports *reports_create(struct entry *entry);
+/**
+ * Opens the socket for reports at the address of the settings. Returns false
+ * with errno if it can't be bound.
+ */
+bool reports_open(struct reports *reports);
 void reports_destroy(struct reports *reports);
 /** Sends a report to the other VMs now, after the state of this VM changed. */
 void reports_send(struct reports *reports);
 
 /** @name Reloading the settings at run time */
-/** Begins to watch the settings file and SIGHUP. */
+/** Creates the reload of the entry VM's settings file. */
 struct reload *reload_create(struct entry *entry);
+/**
+ * Notes that the settings file is about to be read: a change of it from now on
+ * is noticed by a later check.
+ */
+void reload_mark_read(struct reload *reload);
+/** Begins to check the settings file for changes. */
+void reload_start(struct reload *reload);
+/** Reloads the settings because of SIGHUP. */
+void reload_by_signal(struct reload *reload);
 void reload_destroy(struct reload *reload);
 
 #endif
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -581,13 +581,9 @@
 	entry->dispatch = wv_dispatch_create(
 	    entry->registry, &gateway->ops, entry->incarnation);
 	gateway->timer = event_new(entry->base, -1, 0, on_timer, gateway);
-	gateway->server = server_create(
-	    entry->base, entry->settings->callers, &server_ops, gateway);
-	if (gateway->server != NULL)
-		return gateway;
-	event_free(gateway->timer);
-	g_free(gateway);
-	return NULL;
+	gateway->server =
+	    server_create_closed(entry->base, &server_ops, gateway);
+	return gateway;
 }
 
 struct server *
--- a/entry/main.c
+++ b/entry/main.c
@@ -1,19 +1,20 @@
 /**
  * @file
- * wisteriavane-entry: the server process of an entry VM. Reads the settings,
- * opens the listeners, runs the event loop and stops on SIGTERM or SIGINT.
+ * wisteriavane-entry: the server process of an entry VM. Waits for its
+ * settings, opens its addresses, serves, and stops on SIGTERM or SIGINT.
  */
-#include <errno.h>
 #include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
 #include "daemon/options.h"
 #include "daemon/system_clock.h"
 #include "entry/entry.h"
+#include "entry/listeners.h"
+#include "entry/pages.h"
+#include "entry/retry.h"
 #include "entry/socket.h"
 #include "launch/server_main.h"
 
@@ -37,152 +38,36 @@
 #define REFUSE_MARGIN 1500.0
 #define REFUSE_FRACTION 0.25
 
-/** Size of the buffer for a reason in a log line, bytes with the NUL. */
-#define LOG_TEXT_SIZE 200
-
-/*
- * Writes the line that names why the process ends before it serves, in the
- * format of the log, which may not exist yet.
- */
-static void
-log_start_failure(const char *vm, const char *reason)
-{
-	struct wv_clock clock;
-	char escaped[LOG_TEXT_SIZE];
-
-	system_clock_init(&clock);
-	log_escape(wv_string_borrow(reason), escaped, sizeof(escaped));
-	printf("{\"time_ms\":%.0f,\"vm\":\"%s\","
-	       "\"event\":\"start_failed\",\"reason\":\"%s\"}\n",
-	    wv_clock_unix_time(&clock), vm, escaped);
-	fflush(stdout);
-}
+/* State of the process, for the handlers of signals and timers. */
+struct process {
+	struct entry entry;
+	struct event *sigterm;
+	struct event *sigint;
+	struct event *sighup;
+	struct retry *settings; /* reads them */
+	struct reload *reload;
+	struct listeners *listeners; /* NULL: the settings are not read */
+	struct event *stop_timer;
+	int exit_code;
+};
 
-/*
- * Reads settings and prints all faults on standard error.
- *
- * starting: whether to log a fault as the reason why the process ends
- */
-static struct entry_settings *
-read_settings(const char *file, bool starting)
+static int
+check_settings(const char *file)
 {
 	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
-	struct entry_settings *settings = entry_settings_read(file, faults);
+	struct entry_settings *settings =
+	    entry_settings_read(file, faults, NULL);
+	bool valid = settings != NULL;
 
 	for (guint i = 0; i < faults->len; i++)
 		fprintf(stderr, "%s: %s\n", file, (char *)faults->pdata[i]);
-	if (settings == NULL && starting)
-		log_start_failure("", faults->pdata[0]);
+	if (valid)
+		printf("%s: ok\n", file);
 	g_ptr_array_unref(faults);
-	return settings;
-}
-
-static int
-check_settings(const char *file)
-{
-	struct entry_settings *settings = read_settings(file, false);
-
-	if (settings == NULL)
-		return OPTIONS_EXIT_SETTINGS;
-	printf("%s: ok\n", file);
 	entry_settings_destroy(settings);
-	return EXIT_SUCCESS;
-}
-
-static void
-on_address_query(
-    void *data, struct server_conn *conn, const struct message *message)
-{
-	struct entry *entry = data;
-	GString *fields = g_string_new("Content-Type: application/json\r\n");
-	GPtrArray *addresses = g_ptr_array_new();
-	struct wv_string own = {"", 0};
-	struct wv_string body;
-
-	if (entry_is_ready(entry) && !entry->stopping)
-		own = wv_string_borrow(entry->settings->callers);
-	wv_peers_list_caller_addresses(
-	    entry->peers, entry_now(entry), own, addresses);
-	if (addresses->len == 0)
-		g_ptr_array_add(addresses, entry->settings->callers);
-	wv_counter_add(&entry->metrics.address_answers, 1);
-	if (entry->adapter->is_address_query(message_target(message))) {
-		body = entry->adapter->encode_addresses(
-		    addresses, entry->settings->address_lifetime_s * 1000);
-		server_answer(conn, 200, fields, body);
-		wv_string_clear(&body);
-	} else {
-		server_answer_text(conn, 404, "unknown path\n");
-	}
-	g_ptr_array_free(addresses, TRUE);
-	g_string_free(fields, TRUE);
-}
-
-static void
-on_readiness_query(
-    void *data, struct server_conn *conn, const struct message *message)
-{
-	struct entry *entry = data;
-	bool ready = entry_is_ready(entry) && !entry->stopping;
-
-	if (!entry->adapter->is_readiness_query(message_target(message)))
-		server_answer_text(conn, 404, "unknown path\n");
-	else
-		server_answer_text(
-		    conn, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
-}
-
-static void
-on_metrics_query(
-    void *data, struct server_conn *conn, const struct message *message)
-{
-	struct entry *entry = data;
-	GString *text =
-	    metrics_text(&entry->metrics, log_count_dropped(entry->log));
-	struct wv_string body = {text->str, text->len};
-
-	(void)message;
-	server_answer(conn, 200, NULL, body);
-	g_string_free(text, TRUE);
-}
-
-static void
-on_changes_query(
-    void *data, struct server_conn *conn, const struct message *message)
-{
-	struct entry *entry = data;
-
-	store_sync_serve(entry->store, conn, message);
+	return valid ? EXIT_SUCCESS : OPTIONS_EXIT_SETTINGS;
 }
 
-static void
-ignore_caller_left(void *data, struct server_conn *conn)
-{
-}
-
-static void
-ignore_rejected(void *data, unsigned status)
-{
-}
-
-static const struct server_ops address_ops = {
-    on_address_query, ignore_caller_left, ignore_rejected};
-static const struct server_ops readiness_ops = {
-    on_readiness_query, ignore_caller_left, ignore_rejected};
-static const struct server_ops metrics_ops = {
-    on_metrics_query, ignore_caller_left, ignore_rejected};
-static const struct server_ops changes_ops = {
-    on_changes_query, ignore_caller_left, ignore_rejected};
-
-/* State of the process, for the handlers of signals and timers. */
-struct process {
-	struct entry entry;
-	struct event *sigterm;
-	struct event *sigint;
-	struct reload *reload;
-	struct event *stop_timer;
-};
-
 static void
 end_process(struct process *process)
 {
@@ -226,6 +111,14 @@
 	event_add(process->stop_timer, &time);
 }
 
+/* Returns whether a caller may know this VM's address. */
+static bool
+is_known_to_callers(const struct process *process)
+{
+	return process->listeners != NULL &&
+	    server_is_listening(gateway_server(process->entry.gateway));
+}
+
 static void
 on_terminate(evutil_socket_t fd, short what, void *data)
 {
@@ -238,6 +131,10 @@
 		return;
 	entry->stopping = true;
 	entry->stopping_since = entry_now(entry);
+	if (!is_known_to_callers(process)) {
+		end_process(process);
+		return;
+	}
 	log_line(entry->log, LOG_CHANGE, "stopping", "\"in_progress\":%zu",
 	    server_count_busy(gateway_server(entry->gateway)));
 	reports_send(entry->reports);
@@ -245,6 +142,19 @@
 	on_stop_timer(-1, 0, process);
 }
 
+static void
+on_hangup(evutil_socket_t fd, short what, void *data)
+{
+	struct process *process = data;
+
+	(void)fd;
+	(void)what;
+	if (process->listeners != NULL)
+		reload_by_signal(process->reload);
+	else
+		retry_now(process->settings);
+}
+
 /*
  * Blocks or unblocks the signals that the process handles. They are blocked
  * until their handlers are installed.
@@ -272,96 +182,139 @@
 	return event;
 }
 
-/* Reports that an address can't be listened on, with errno. */
+/* An address can't be listened on, whatever time passes. */
 static void
-report_address(const struct entry *entry, const char *address)
-{
-	char *reason =
-	    g_strdup_printf("%s: cannot listen: %s", address, strerror(errno));
-
-	fprintf(stderr, "%s\n", reason);
-	log_start_failure(entry->settings->vm, reason);
-	g_free(reason);
-}
-
-/* Listens on an address; reports an error and returns NULL on failure. */
-static struct server *
-open_server(
-    struct entry *entry, const char *address, const struct server_ops *ops)
+on_address_failed(void *data)
 {
-	struct server *server = server_create(entry->base, address, ops, entry);
+	struct process *process = data;
 
-	if (server == NULL)
-		report_address(entry, address);
-	return server;
+	process->exit_code = OPTIONS_EXIT_ADDRESS;
+	event_base_loopbreak(process->entry.base);
 }
 
-static bool
-open_servers(struct entry *entry)
+/* Creates what needs the settings, and opens the addresses. */
+static void
+start_serving(struct process *process)
 {
+	struct entry *entry = &process->entry;
 	const struct entry_settings *settings = entry->settings;
 
+	log_set_vm(entry->log, wv_string_borrow(settings->vm));
+	entry->peers = wv_peers_create(wv_string_borrow(settings->vm),
+	    wv_string_borrow(settings->zone), settings->capacity);
 	entry->gateway = gateway_create(entry);
-	if (entry->gateway == NULL) {
-		report_address(entry, settings->callers);
-		return false;
-	}
-	entry->address_server =
-	    open_server(entry, settings->addresses, &address_ops);
-	entry->readiness_server =
-	    open_server(entry, settings->readiness, &readiness_ops);
-	entry->metrics_server =
-	    open_server(entry, settings->metrics, &metrics_ops);
-	entry->change_server =
-	    open_server(entry, settings->peers, &changes_ops);
-	if (entry->address_server == NULL || entry->readiness_server == NULL ||
-	    entry->metrics_server == NULL || entry->change_server == NULL)
-		return false;
+	pages_create(entry);
 	entry->store = store_sync_create(entry);
 	entry_update_limits(entry);
 	entry->reports = reports_create(entry);
-	if (entry->reports == NULL)
-		report_address(entry, settings->peers);
-	return entry->reports != NULL;
+	process->listeners =
+	    listeners_create(entry, on_address_failed, process);
+	reload_start(process->reload);
+	log_line(entry->log, LOG_CHANGE, "started",
+	    "\"zone\":\"%s\",\"callers\":\"%s\",\"incarnation\":"
+	    "%" G_GUINT64_FORMAT,
+	    settings->zone, settings->callers, entry->incarnation);
 }
 
 static void
-start_process(struct process *process)
+append_faults(GString *reason, const GPtrArray *faults)
 {
+	for (guint i = 0; i < faults->len; i++)
+		g_string_append_printf(reason, "%s%s", i > 0 ? "; " : "",
+		    (const char *)faults->pdata[i]);
+}
+
+/*
+ * Reads the settings and starts to serve. A file that is missing or not whole
+ * may be about to be written; one with a wrong setting needs somebody to
+ * change it.
+ */
+static enum retry_result
+read_settings(void *data, GString *reason)
+{
+	struct process *process = data;
 	struct entry *entry = &process->entry;
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	bool whole;
+
+	reload_mark_read(process->reload);
+	entry->settings =
+	    entry_settings_read(entry->settings_file, faults, &whole);
+	append_faults(reason, faults);
+	g_ptr_array_unref(faults);
+	if (entry->settings == NULL)
+		return whole ? RETRY_NEVER : RETRY_LATER;
+	start_serving(process);
+	return RETRY_DONE;
+}
 
+static void
+on_settings_invalid(void *data)
+{
+	struct process *process = data;
+
+	process->exit_code = OPTIONS_EXIT_SETTINGS;
+	event_base_loopbreak(process->entry.base);
+}
+
+static const struct retry_ops settings_ops = {
+    read_settings, on_settings_invalid};
+
+/* Creates what a start needs before the settings are known. */
+static void
+process_init(struct process *process, const char *file)
+{
+	struct entry *entry = &process->entry;
+
+	entry->settings_file = g_strdup(file);
+	system_clock_init(&entry->clock);
+	entry->base = event_base_new();
+	entry->adapter = platform_get_adapter();
+	entry->incarnation = (uint64_t)wv_clock_unix_time(&entry->clock);
+	entry->started_at = entry_now(entry);
+	metrics_init(&entry->metrics);
+	entry->log = log_create(
+	    entry->base, &entry->clock, STDOUT_FILENO, wv_string_borrow(""));
 	process->sigterm = add_signal_handler(process, SIGTERM, on_terminate);
 	process->sigint = add_signal_handler(process, SIGINT, on_terminate);
-	process->reload = reload_create(entry);
+	process->sighup = add_signal_handler(process, SIGHUP, on_hangup);
 	process->stop_timer =
 	    event_new(entry->base, -1, 0, on_stop_timer, process);
-	log_line(entry->log, LOG_CHANGE, "started",
-	    "\"zone\":\"%s\",\"callers\":\"%s\",\"incarnation\":"
-	    "%" G_GUINT64_FORMAT,
-	    entry->settings->zone, entry->settings->callers,
-	    entry->incarnation);
+	process->reload = reload_create(entry);
+	process->settings = retry_create(entry->base, entry->log, &entry->clock,
+	    "settings", &settings_ops, process);
 }
 
+/* Releases what start_serving() created. */
 static void
-clean_up(struct process *process)
+end_serving(struct process *process)
 {
 	struct entry *entry = &process->entry;
 
+	listeners_destroy(process->listeners);
 	store_sync_destroy(entry->store);
 	reports_destroy(entry->reports);
 	gateway_destroy(entry->gateway);
-	server_destroy(entry->address_server);
-	server_destroy(entry->readiness_server);
-	server_destroy(entry->metrics_server);
-	server_destroy(entry->change_server);
+	pages_destroy(entry);
+	wv_routes_unref(entry->routes);
+	wv_peers_destroy(entry->peers);
+	entry_settings_destroy(entry->settings);
+}
+
+static void
+process_clear(struct process *process)
+{
+	struct entry *entry = &process->entry;
+
+	if (process->listeners != NULL)
+		end_serving(process);
+	retry_destroy(process->settings);
+	reload_destroy(process->reload);
 	event_free(process->sigterm);
 	event_free(process->sigint);
-	reload_destroy(process->reload);
+	event_free(process->sighup);
 	event_free(process->stop_timer);
-	wv_routes_unref(entry->routes);
-	wv_peers_destroy(entry->peers);
 	log_destroy(entry->log);
-	entry_settings_destroy(entry->settings);
 	g_free(entry->settings_file);
 	event_base_free(entry->base);
 }
@@ -369,32 +322,17 @@
 static int
 run(const char *file)
 {
-	struct process process = {0};
-	struct entry *entry = &process.entry;
+	struct process process = {.exit_code = EXIT_SUCCESS};
 
-	entry->settings = read_settings(file, true);
-	if (entry->settings == NULL)
-		return OPTIONS_EXIT_SETTINGS;
-	entry->settings_file = g_strdup(file);
-	system_clock_init(&entry->clock);
-	entry->base = event_base_new();
-	entry->adapter = platform_get_adapter();
-	entry->incarnation = (uint64_t)wv_clock_unix_time(&entry->clock);
-	entry->started_at = entry_now(entry);
-	metrics_init(&entry->metrics);
-	entry->log = log_create(entry->base, &entry->clock, STDOUT_FILENO,
-	    wv_string_borrow(entry->settings->vm));
-	entry->peers = wv_peers_create(wv_string_borrow(entry->settings->vm),
-	    wv_string_borrow(entry->settings->zone), entry->settings->capacity);
-	if (!open_servers(entry))
-		return EXIT_FAILURE;
-	start_process(&process);
+	process_init(&process, file);
+	retry_now(process.settings);
 	block_signals(false);
-	event_base_dispatch(entry->base);
+	if (process.exit_code == EXIT_SUCCESS)
+		event_base_dispatch(process.entry.base);
 	/* A second signal must not interrupt the cleanup. */
 	block_signals(true);
-	clean_up(&process);
-	return EXIT_SUCCESS;
+	process_clear(&process);
+	return process.exit_code;
 }
 
 int
--- a/entry/reload.c
+++ b/entry/reload.c
@@ -3,7 +3,6 @@
  * Reloads the settings while the process runs: on SIGHUP, and when the file has
  * changed and was then the same in two checks in a row.
  */
-#include <signal.h>
 #include <string.h>
 #include <sys/stat.h>
 
@@ -24,7 +23,6 @@
 
 struct reload {
 	struct entry *entry;
-	struct event *signal;
 	struct event *timer;
 	struct file_state loaded; /* when the settings were last read */
 	struct file_state last_seen; /* at the last check */
@@ -89,12 +87,8 @@
 	GPtrArray *kept = g_ptr_array_new();
 	struct entry_settings *settings;
 
-	/*
-	 * The state is recorded before the file is read: a change in between is
-	 * noticed by the next check.
-	 */
-	reload->loaded = get_file_state(entry->settings_file);
-	settings = entry_settings_read(entry->settings_file, faults);
+	reload_mark_read(reload);
+	settings = entry_settings_read(entry->settings_file, faults, NULL);
 	if (settings != NULL) {
 		entry_settings_update(entry->settings, settings, kept);
 		entry_update_limits(entry);
@@ -107,14 +101,6 @@
 	g_ptr_array_unref(kept);
 }
 
-static void
-on_signal(evutil_socket_t fd, short what, void *data)
-{
-	(void)fd;
-	(void)what;
-	reload_now(data, "signal");
-}
-
 /* Reloads a changed file only once it is no longer being written. */
 static void
 on_timer(evutil_socket_t fd, short what, void *data)
@@ -132,26 +118,40 @@
 	event_add(reload->timer, &time);
 }
 
+void
+reload_by_signal(struct reload *reload)
+{
+	reload_now(reload, "signal");
+}
+
+void
+reload_mark_read(struct reload *reload)
+{
+	reload->loaded = get_file_state(reload->entry->settings_file);
+}
+
 struct reload *
 reload_create(struct entry *entry)
 {
 	struct reload *reload = g_new0(struct reload, 1);
-	struct timeval time = socket_timeval(CHECK_INTERVAL);
 
 	reload->entry = entry;
-	reload->loaded = get_file_state(entry->settings_file);
-	reload->last_seen = reload->loaded;
-	reload->signal = evsignal_new(entry->base, SIGHUP, on_signal, reload);
 	reload->timer = event_new(entry->base, -1, 0, on_timer, reload);
-	event_add(reload->signal, NULL);
-	event_add(reload->timer, &time);
 	return reload;
 }
 
+void
+reload_start(struct reload *reload)
+{
+	struct timeval time = socket_timeval(CHECK_INTERVAL);
+
+	reload->last_seen = reload->loaded;
+	event_add(reload->timer, &time);
+}
+
 void
 reload_destroy(struct reload *reload)
 {
-	event_free(reload->signal);
 	event_free(reload->timer);
 	g_free(reload);
 }
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -21,8 +21,8 @@
 
 struct reports {
 	struct entry *entry;
-	int fd;
-	struct event *read;
+	int fd; /* -1: not open yet */
+	struct event *read; /* NULL: not open yet */
 	struct event *timer;
 	uint64_t sequence; /* number of the last report */
 	unsigned live_hubs; /* other hubs alive, as last logged */
@@ -200,12 +200,14 @@
 reports_send(struct reports *reports)
 {
 	struct entry *entry = reports->entry;
-	GArray *targets =
-	    g_array_new(FALSE, FALSE, sizeof(struct wv_peer_target));
 	wv_msec now = entry_now(entry);
 	struct wv_peer_report own;
+	GArray *targets;
 
 	wv_peers_update(entry->peers, now);
+	if (reports->fd < 0)
+		return;
+	targets = g_array_new(FALSE, FALSE, sizeof(struct wv_peer_target));
 	compose_own_report(reports, &own);
 	wv_peers_plan_reports(entry->peers, now, &own, targets);
 	send_round(reports, &own, targets);
@@ -369,27 +371,36 @@
 struct reports *
 reports_create(struct entry *entry)
 {
-	int fd = socket_datagram(entry->settings->peers);
-	struct reports *reports;
+	struct reports *reports = g_new0(struct reports, 1);
 
-	if (fd < 0)
-		return NULL;
-	reports = g_new0(struct reports, 1);
 	reports->entry = entry;
-	reports->fd = fd;
-	reports->read =
-	    event_new(entry->base, fd, EV_READ | EV_PERSIST, on_read, reports);
+	reports->fd = -1;
 	reports->timer = event_new(entry->base, -1, 0, on_timer, reports);
-	event_add(reports->read, NULL);
 	event_active(reports->timer, EV_TIMEOUT, 0);
 	return reports;
 }
 
+bool
+reports_open(struct reports *reports)
+{
+	struct entry *entry = reports->entry;
+
+	reports->fd = socket_datagram(entry->settings->peers);
+	if (reports->fd < 0)
+		return false;
+	reports->read = event_new(
+	    entry->base, reports->fd, EV_READ | EV_PERSIST, on_read, reports);
+	event_add(reports->read, NULL);
+	return true;
+}
+
 void
 reports_destroy(struct reports *reports)
 {
-	event_free(reports->read);
 	event_free(reports->timer);
-	close(reports->fd);
+	if (reports->read != NULL) {
+		event_free(reports->read);
+		close(reports->fd);
+	}
 	g_free(reports);
 }
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -140,22 +140,26 @@
 	}
 }
 
-struct entry_settings *
-entry_settings_parse(struct wv_string json, GPtrArray *faults)
+/* Parses the JSON object of the settings; NULL and a fault if it is none. */
+static JsonNode *
+parse_object(struct wv_string json, GPtrArray *faults)
 {
 	struct wv_status status = {0};
 	JsonNode *root = wv_json_parse(json, &status);
-	struct entry_settings *settings;
-	guint before = faults->len;
 
-	if (root == NULL) {
+	if (root == NULL)
 		g_ptr_array_add(
 		    faults, g_strdup_printf("$: %s", status.message));
-		return NULL;
-	}
-	settings = g_new0(struct entry_settings, 1);
-	read_fields(settings, json_node_get_object(root), faults);
-	json_node_unref(root);
+	return root;
+}
+
+static struct entry_settings *
+read_object(JsonObject *object, GPtrArray *faults)
+{
+	struct entry_settings *settings = g_new0(struct entry_settings, 1);
+	guint before = faults->len;
+
+	read_fields(settings, object, faults);
 	if (faults->len == before)
 		return settings;
 	entry_settings_destroy(settings);
@@ -163,18 +167,38 @@
 }
 
 struct entry_settings *
-entry_settings_read(const char *file, GPtrArray *faults)
+entry_settings_parse(struct wv_string json, GPtrArray *faults)
 {
+	JsonNode *root = parse_object(json, faults);
 	struct entry_settings *settings;
+
+	if (root == NULL)
+		return NULL;
+	settings = read_object(json_node_get_object(root), faults);
+	json_node_unref(root);
+	return settings;
+}
+
+struct entry_settings *
+entry_settings_read(const char *file, GPtrArray *faults, bool *whole)
+{
+	struct entry_settings *settings = NULL;
 	struct wv_string json = {NULL, 0};
 	GError *error = NULL;
+	JsonNode *root = NULL;
 
-	if (!g_file_get_contents(file, &json.data, &json.length, &error)) {
+	if (g_file_get_contents(file, &json.data, &json.length, &error)) {
+		root = parse_object(json, faults);
+	} else {
 		g_ptr_array_add(faults, g_strdup(error->message));
 		g_error_free(error);
-		return NULL;
 	}
-	settings = entry_settings_parse(json, faults);
+	if (whole != NULL)
+		*whole = root != NULL;
+	if (root != NULL) {
+		settings = read_object(json_node_get_object(root), faults);
+		json_node_unref(root);
+	}
 	g_free(json.data);
 	return settings;
 }
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -39,8 +39,14 @@
 struct entry_settings *entry_settings_parse(
     struct wv_string json, GPtrArray *faults);
 
-/** Like entry_settings_parse(), from a file; an unreadable file is a fault. */
-struct entry_settings *entry_settings_read(const char *file, GPtrArray *faults);
+/**
+ * Like entry_settings_parse(), from a file; an unreadable file is a fault.
+ *
+ * @param whole  may be NULL; receives whether the file could be read and holds
+ *               a JSON object, so that it is not one that is being written
+ */
+struct entry_settings *entry_settings_read(
+    const char *file, GPtrArray *faults, bool *whole);
 
 /**
  * Copies from newer settings the fields that may change at run time.
