Release attempts in progress when a server stops

A server that stopped while an order ran at a searcher, after its caller had been answered, never freed the attempt and its connection. The process is about to end, so nobody noticed, but under AddressSanitizer the leak made the exit code 1, and a soak of the sanitized server counts it as a process that ended by itself.

wv_dispatch_destroy() now cancels the attempts that are still in progress. The dispatch is therefore destroyed before its registry.

test_dispatch failed before (no attempt cancelled) and passes now.

--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -627,7 +627,7 @@
 	gateway_abort(gateway);
 	server_destroy(gateway->server);
 	event_free(gateway->timer);
-	wv_registry_destroy(entry->registry);
 	wv_dispatch_destroy(entry->dispatch);
+	wv_registry_destroy(entry->registry);
 	g_free(gateway);
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -57,9 +57,23 @@
 	return dispatch;
 }
 
+/* Cancels the attempts that their tasks left in progress. */
+static void
+cancel_detached(struct wv_dispatch *dispatch)
+{
+	struct timer *timer;
+
+	while ((timer = wv_timers_pop(&dispatch->timers, INFINITY)) != NULL) {
+		if (timer->kind == TIMER_DISPATCH_ATTEMPT)
+			dispatch_cancel(
+			    dispatch, ((struct dispatch_timer *)timer)->owner);
+	}
+}
+
 void
 wv_dispatch_destroy(struct wv_dispatch *dispatch)
 {
+	cancel_detached(dispatch);
 	wv_timers_clear(&dispatch->timers);
 	g_hash_table_unref(dispatch->route_latencies);
 	g_free(dispatch);
--- a/test/dispatch_simulation.h
+++ b/test/dispatch_simulation.h
@@ -451,8 +451,8 @@
 	}
 	simulation_run(simulation, 3000);
 	g_assert_cmpuint(simulation->messages, ==, 0);
-	wv_registry_destroy(simulation->registry);
 	wv_dispatch_destroy(simulation->dispatch);
+	wv_registry_destroy(simulation->registry);
 	wv_routes_unref(simulation->routes);
 	g_rand_free(simulation->random);
 	g_free(simulation);
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -418,6 +418,29 @@
 	simulation_destroy(simulation);
 }
 
+/*
+ * A VM that stops releases the attempts that are still in progress, together
+ * with their connections. Sanitized servers ended with exit code 1 otherwise.
+ */
+static void
+test_destroy_with_attempts(void)
+{
+	struct simulation *simulation = simulation_create(1, 3, 14);
+	struct simulation_result result = {0};
+	struct wv_task *task = simulation_submit(simulation, 2, 1500, &result);
+	unsigned cancelled = 0;
+
+	simulation_run(simulation, 2);
+	wv_dispatch_abort_task(simulation->dispatch, simulation->now, task);
+	wv_dispatch_destroy(simulation->dispatch);
+	for (unsigned i = 0; i < simulation->n_searchers; i++)
+		cancelled += simulation->searchers[i].cancelled;
+	g_assert_cmpuint(cancelled, ==, 1);
+	simulation->dispatch =
+	    wv_dispatch_create(simulation->registry, &simulation->ops, 14);
+	simulation_destroy(simulation);
+}
+
 /*
  * A non-idempotent request that waited for a connection must not be sent again
  * when the time limit of the wait passes while it runs, even if another
@@ -468,6 +491,8 @@
 	g_test_add_func("/dispatch/draining", test_draining);
 	g_test_add_func("/dispatch/connection-share", test_connection_limit);
 	g_test_add_func("/dispatch/abort", test_abort);
+	g_test_add_func(
+	    "/dispatch/destroy-with-attempts", test_destroy_with_attempts);
 	g_test_add_func(
 	    "/dispatch/once-after-wait", test_non_idempotent_after_wait);
 	return g_test_run();
--- a/wisteriavane/dispatch.h
+++ b/wisteriavane/dispatch.h
@@ -156,7 +156,10 @@
 struct wv_dispatch *wv_dispatch_create(
     struct wv_registry *registry, struct wv_dispatch_ops *ops, uint64_t seed);
 
-/** Frees the dispatch; all tasks must have finished. */
+/**
+ * Cancels the attempts that are still in progress and frees the dispatch,
+ * before its registry; all tasks must have finished.
+ */
 void wv_dispatch_destroy(struct wv_dispatch *dispatch);
 
 /** Sets the limits, copied; they apply from the next decision on. */
