Keep each log line one JSON object whatever names are logged

Names of routes, services and searchers were written to the log as the store has them, and so was the reason why an answer could not be read. A quote or a line feed in one broke the line: readers of the log lost the event, or read a forged one. All go through log_escape() now.

log_escape() itself kept bytes of 0x80 and above where char is unsigned, as arm64 compilers have it by default, and replaced them where it is signed. So an identifier of a request that is not UTF-8 made a line invalid on some builds only. Now all that is not printable ASCII is replaced on every build.

test_log fails without the change if built with -funsigned-char (byte 0x80 is kept) and passes with either char.

--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -268,12 +268,16 @@
     const struct wv_attempt *attempt)
 {
 	char text[LOG_TEXT_SIZE];
+	char service[LOG_NAME_SIZE];
+	char searcher[LOG_NAME_SIZE];
 
 	log_line(entry->log, LOG_DETAIL, "attempt_repeated",
 	    "\"id\":\"%s\",\"service\":\"%s\",\"searcher\":\"%s\","
 	    "\"elapsed_ms\":%.1f,\"window_first\":%u,\"window_extra\":%u",
 	    log_escape(call->request.id, text, sizeof(text)),
-	    attempt->searcher->service->name.data, attempt->searcher->id.data,
+	    log_escape(
+		attempt->searcher->service->name, service, sizeof(service)),
+	    log_escape(attempt->searcher->id, searcher, sizeof(searcher)),
 	    attempt->sent_at - attempt->task->arrived,
 	    attempt->searcher->service->allowance.first_total,
 	    attempt->searcher->service->allowance.extra_total);
@@ -332,6 +336,8 @@
 	    attempt->task != NULL ? attempt->task->caller : NULL;
 	struct wv_string id = {"", 0};
 	char text[LOG_TEXT_SIZE];
+	char service[LOG_NAME_SIZE];
+	char searcher[LOG_NAME_SIZE];
 
 	if (call != NULL)
 		id = call->request.id;
@@ -340,7 +346,9 @@
 	    "\"id\":\"%s\",\"service\":\"%s\",\"searcher\":\"%s\","
 	    "\"end\":\"%s\",\"elapsed_ms\":%.1f,\"extra\":%s,\"lost\":%s",
 	    log_escape(id, text, sizeof(text)),
-	    attempt->searcher->service->name.data, attempt->searcher->id.data,
+	    log_escape(
+		attempt->searcher->service->name, service, sizeof(service)),
+	    log_escape(attempt->searcher->id, searcher, sizeof(searcher)),
 	    wv_attempt_end_name(end), elapsed,
 	    attempt->extra ? "true" : "false",
 	    attempt->searcher->health.lost ? "true" : "false");
@@ -460,6 +468,7 @@
     const struct wv_task *task, unsigned status, const struct wv_result *result)
 {
 	char text[LOG_TEXT_SIZE];
+	char route[LOG_NAME_SIZE];
 	bool good =
 	    result->kind == WV_RESULT_PARTS || result->kind == WV_RESULT_RELAY;
 
@@ -470,10 +479,10 @@
 	    "\"reserved_ms\":%.1f,\"parts\":%zu,\"of\":%zu,\"attempts\":%u,"
 	    "\"extra\":%u",
 	    log_escape(call->request.id, text, sizeof(text)),
-	    task->route->name.data, task->routes->version, status,
-	    wv_reason_name(result->reason), entry_now(entry) - task->arrived,
-	    task->reserved, task->included, task->n_shards, task->attempts,
-	    task->extra);
+	    log_escape(task->route->name, route, sizeof(route)),
+	    task->routes->version, status, wv_reason_name(result->reason),
+	    entry_now(entry) - task->arrived, task->reserved, task->included,
+	    task->n_shards, task->attempts, task->extra);
 }
 
 /*
--- a/entry/log.c
+++ b/entry/log.c
@@ -180,8 +180,9 @@
 	for (size_t i = 0; i < text.length && n + 1 < size; i++) {
 		char c = text.data[i];
 
+		/* Not ASCII: the text may be cut within a character. */
 		buffer[n++] =
-		    c < 0x20 || c == '"' || c == '\\' || c == 0x7f ? '?' : c;
+		    g_ascii_isprint(c) && c != '"' && c != '\\' ? c : '?';
 	}
 	buffer[n] = '\0';
 	return buffer;
--- a/entry/log.h
+++ b/entry/log.h
@@ -49,13 +49,17 @@
 void log_line(struct log *log, enum log_level level, const char *event,
     const char *format, ...) G_GNUC_PRINTF(4, 5);
 
+/** Size of a buffer for a name from outside, bytes with the NUL. */
+#define LOG_NAME_SIZE 256
+
 /** Returns how many lines were dropped. */
 uint64_t log_count_dropped(const struct log *log);
 
 /**
  * Copies untrusted bytes so that they may stand in a JSON string: quotes,
- * backslashes and control characters become question marks. At most size - 1
- * bytes are written and NUL-terminated; the rest is cut.
+ * backslashes, control characters and bytes that are not ASCII become question
+ * marks. At most size - 1 bytes are written and NUL-terminated; the rest is
+ * cut.
  *
  * @return buffer
  */
--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -188,6 +188,7 @@
 	struct wv_string body = {answer->body->str, answer->body->len};
 	struct wv_status status = {0};
 	struct store_page page = {0};
+	char why[LOG_NAME_SIZE];
 	bool valid;
 
 	prepare_registry(follower, answer);
@@ -200,7 +201,9 @@
 	else
 		log_line(entry->log, LOG_CHANGE, "store_answer_unreadable",
 		    "\"kind\":\"%s\",\"why\":\"%s\"",
-		    store_kind_name(follower->kind), status.message);
+		    store_kind_name(follower->kind),
+		    log_escape(
+			wv_string_borrow(status.message), why, sizeof(why)));
 	g_ptr_array_unref(follower->received);
 	follower->received = NULL;
 	follower->page = NULL;
--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -9,6 +9,7 @@
 {
 	struct wv_status status = {0};
 	struct wv_routes *routes;
+	char name[LOG_NAME_SIZE];
 
 	if (object->deleted)
 		return;
@@ -16,7 +17,8 @@
 	if (routes == NULL) {
 		wv_counter_add(&entry->metrics.objects_unreadable, 1);
 		log_line(entry->log, LOG_CHANGE, "routes_unreadable",
-		    "\"name\":\"%s\",\"why\":\"%s\"", object->name.data,
+		    "\"name\":\"%s\",\"why\":\"%s\"",
+		    log_escape(object->name, name, sizeof(name)),
 		    status.message);
 		return;
 	}
@@ -27,11 +29,16 @@
 static void
 log_searcher(struct entry *entry, const struct wv_searcher_entry *searcher)
 {
+	char id[LOG_NAME_SIZE];
+	char service[LOG_NAME_SIZE];
+
 	log_line(entry->log, LOG_CHANGE, "searcher_changed",
 	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
 	    "\"draining\":%s,\"started_ms\":%" G_GUINT64_FORMAT,
-	    searcher->id.data, searcher->service.data, searcher->address.data,
-	    searcher->draining ? "true" : "false", searcher->started);
+	    log_escape(searcher->id, id, sizeof(id)),
+	    log_escape(searcher->service, service, sizeof(service)),
+	    searcher->address.data, searcher->draining ? "true" : "false",
+	    searcher->started);
 }
 
 static void
@@ -40,18 +47,21 @@
 	struct wv_searcher_entry searcher;
 	struct wv_status status = {0};
 	wv_msec now = entry_now(entry);
+	char name[LOG_NAME_SIZE];
 
 	if (object->deleted) {
 		if (wv_registry_remove(entry->registry, now, object->name))
 			log_line(entry->log, LOG_CHANGE, "searcher_missing",
-			    "\"searcher\":\"%s\"", object->name.data);
+			    "\"searcher\":\"%s\"",
+			    log_escape(object->name, name, sizeof(name)));
 		return;
 	}
 	if (!entry->adapter->decode_searcher(object, &searcher, &status)) {
 		wv_counter_add(&entry->metrics.objects_unreadable, 1);
 		wv_registry_remove(entry->registry, now, object->name);
 		log_line(entry->log, LOG_CHANGE, "searcher_unreadable",
-		    "\"searcher\":\"%s\",\"why\":\"%s\"", object->name.data,
+		    "\"searcher\":\"%s\",\"why\":\"%s\"",
+		    log_escape(object->name, name, sizeof(name)),
 		    status.message);
 		return;
 	}
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -128,10 +128,14 @@
 static void
 record_leaving(struct entry *entry, const struct wv_searcher *searcher)
 {
+	char id[LOG_NAME_SIZE];
+	char service[LOG_NAME_SIZE];
+
 	wv_counter_add(&entry->metrics.searchers_leaving, 1);
 	log_line(entry->log, LOG_CHANGE, "searcher_leaving",
 	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\"",
-	    searcher->id.data, searcher->service->name.data,
+	    log_escape(searcher->id, id, sizeof(id)),
+	    log_escape(searcher->service->name, service, sizeof(service)),
 	    searcher->address.data);
 }
 
@@ -139,10 +143,15 @@
 record_rest(
     struct entry *entry, const struct wv_searcher *searcher, wv_msec rest)
 {
+	char id[LOG_NAME_SIZE];
+	char service[LOG_NAME_SIZE];
+
 	wv_counter_add(&entry->metrics.searchers_resting, 1);
 	log_line(entry->log, LOG_FAILURE, "searcher_rests",
 	    "\"searcher\":\"%s\",\"service\":\"%s\",\"rest_ms\":%.0f",
-	    searcher->id.data, searcher->service->name.data, rest);
+	    log_escape(searcher->id, id, sizeof(id)),
+	    log_escape(searcher->service->name, service, sizeof(service)),
+	    rest);
 }
 
 static bool
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -80,10 +80,35 @@
 	close(fixture.reader);
 }
 
+/*
+ * Any bytes become printable ASCII that may stand in a JSON string, whether
+ * char is signed, as on x86-64, or not, as on arm64. Bytes that are not ASCII
+ * were copied on arm64 only, where a line was not valid UTF-8.
+ */
+static void
+test_escape(void)
+{
+	char text[256];
+	char buffer[sizeof(text)];
+
+	for (size_t i = 0; i < sizeof(text) - 1; i++)
+		text[i] = (char)(i + 1);
+	log_escape(
+	    (struct wv_string){text, sizeof(text) - 1}, buffer, sizeof(buffer));
+	for (size_t i = 0; i < sizeof(text) - 1; i++) {
+		size_t c = i + 1;
+		bool is_plain = c >= ' ' && c <= '~' && c != '"' && c != '\\';
+
+		g_assert_cmpint(buffer[i], ==, is_plain ? (char)c : '?');
+	}
+	g_assert_cmpint(buffer[sizeof(text) - 1], ==, '\0');
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/log/whole-lines", test_whole_lines);
+	g_test_add_func("/log/escape", test_escape);
 	return g_test_run();
 }
