Start the soak's servers as a launcher does

The soak started servers with SIGTERM and SIGHUP blocked and their output in a file, so it could not see servers that end while they start.

Servers now start with no signal blocked or ignored, at most 4100 descriptors, and a pipe as standard output. Signals are sent from the moment on from which the process blocks or handles SIGHUP: before it, right after exec(), a signal ends any program. Half of the starts then get a series of SIGHUP, some with SIGTERM or SIGINT, up to 3 ms apart.

New faults: an immediate restart; a stopped former process that still has the ports; ports held by another socket; settings that are empty, half written, missing or rewritten during reads; output that is read slowly, not at all, or whose reader is gone.

--- /dev/null
+++ b/soak/action.h
@@ -0,0 +1,38 @@
+/**
+ * @file
+ * Delayed actions of the soak, such as the end of a fault.
+ */
+#ifndef WISTERIAVANE_SOAK_ACTION_H
+#define WISTERIAVANE_SOAK_ACTION_H
+
+#include "soak/soak.h"
+
+/** A delayed action. */
+struct action {
+	struct soak *soak;
+	struct event *timer;
+	void (*run)(struct action *action); /**< frees it or adds the timer */
+	unsigned index; /**< of the VM or searcher */
+	unsigned stage; /**< steps that have run; counted by run() */
+	pid_t pid; /**< of the process that it concerns */
+	void *data; /**< of run(), which releases it */
+};
+
+/**
+ * Schedules an action after a delay in ms.
+ *
+ * @return the action, valid until run() frees it
+ */
+struct action *action_schedule(struct soak *soak, wv_msec delay, unsigned index,
+    void (*run)(struct action *action));
+
+/** Schedules the action again after a delay in ms; called by run(). */
+void action_repeat(struct action *action, wv_msec delay);
+
+/** Releases the action; called by run(). */
+void action_destroy(struct action *action);
+
+/** Returns a random number below n, drawn from the seed. */
+unsigned random_below(struct soak *soak, unsigned n);
+
+#endif
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -288,7 +288,7 @@
 find_vm(struct soak *soak, const char *callers)
 {
 	for (unsigned i = 0; i < soak->n_vms; i++) {
-		if (g_str_equal(soak->vms[i].callers, callers))
+		if (g_str_equal(soak->vms[i].listeners[SOAK_CALLERS], callers))
 			return &soak->vms[i];
 	}
 	return NULL;
@@ -314,7 +314,7 @@
 	GString *text = standin_address_query();
 
 	caller->step = STEP_ADDRESSES;
-	send_bytes(caller, soak->vms[i].addresses, text);
+	send_bytes(caller, soak->vms[i].listeners[SOAK_ADDRESSES], text);
 	set_timer(caller, 500);
 }
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -5,8 +5,7 @@
  */
 #include <signal.h>
 
-#include "entry/socket.h"
-#include "soak/soak.h"
+#include "soak/action.h"
 
 /** Bounds of the random time between the starts of two faults, ms. */
 #define MIN_FAULT_INTERVAL 150
@@ -14,8 +13,6 @@
 /** Bounds of the random duration of a fault, ms. */
 #define MIN_FAULT_DURATION 200
 #define MAX_FAULT_DURATION 2000
-/** Time after a fault during which requests may still fail, ms. */
-#define RECOVERY_TIME 1500.0
 /** Time after which a draining searcher must receive no new requests, ms. */
 #define DRAIN_BOUND 3000.0
 /** Time after DRAIN_BOUND during which requests to it are counted, ms. */
@@ -25,70 +22,17 @@
 #define UNREADABLE_NAME "i-unreadable"
 #define UNREADABLE_DEPTH 100
 
-/* A delayed action, such as the end of a fault. */
-struct action {
-	struct soak *soak;
-	struct event *timer;
-	void (*run)(struct action *action); /* frees it or adds the timer */
-	unsigned index; /* of the VM or searcher */
-	uint64_t arrivals; /* at a draining searcher by DRAIN_BOUND */
-	unsigned stage; /* of check_drained() */
+/* The check of a searcher that drains. */
+struct drain {
+	uint64_t arrivals; /* by DRAIN_BOUND */
 	bool in_store; /* the searcher's entry says that it drains */
 };
 
-/* Returns a random number below n. */
-static unsigned
-random_below(struct soak *soak, unsigned n)
-{
-	return (unsigned)g_rand_int_range(soak->random, 0, (gint32)n);
-}
-
-/* Lets requests to a VM fail during a fault and the time after it. */
-static void
-mark_vm_affected(struct soak *soak, struct soak_vm *vm, wv_msec duration)
-{
-	vm->affected_until =
-	    MAX(vm->affected_until, soak_now(soak) + duration + RECOVERY_TIME);
-}
-
 static void
 mark_all_vms_affected(struct soak *soak, wv_msec duration)
 {
 	for (unsigned i = 0; i < soak->n_vms; i++)
-		mark_vm_affected(soak, &soak->vms[i], duration);
-}
-
-static void
-on_action_due(evutil_socket_t fd, short what, void *data)
-{
-	struct action *action = data;
-
-	(void)fd;
-	(void)what;
-	action->run(action);
-}
-
-/* Schedules an action after a delay in ms. */
-static struct action *
-schedule_action(struct soak *soak, wv_msec delay, unsigned index,
-    void (*run)(struct action *action))
-{
-	struct timeval time = socket_timeval(delay);
-	struct action *action = g_new0(struct action, 1);
-
-	action->soak = soak;
-	action->index = index;
-	action->run = run;
-	action->timer = event_new(soak->base, -1, 0, on_action_due, action);
-	event_add(action->timer, &time);
-	return action;
-}
-
-static void
-action_destroy(struct action *action)
-{
-	event_free(action->timer);
-	g_free(action);
+		soak_vm_mark_affected(soak, &soak->vms[i], duration);
 }
 
 static void
@@ -99,6 +43,8 @@
 	if (vm->pid != 0 && vm->paused)
 		kill(vm->pid, SIGCONT);
 	vm->paused = false;
+	vm->start_due =
+	    MAX(vm->start_due, soak_now(action->soak) + SOAK_START_BOUND);
 	action_destroy(action);
 }
 
@@ -112,8 +58,8 @@
 		return;
 	kill(vm->pid, SIGSTOP);
 	vm->paused = true;
-	mark_vm_affected(soak, vm, duration);
-	schedule_action(soak, duration, i, resume_vm);
+	soak_vm_mark_affected(soak, vm, duration);
+	action_schedule(soak, duration, i, resume_vm);
 }
 
 static void
@@ -122,9 +68,11 @@
 	struct soak_vm *vm = &soak->vms[i];
 
 	soak_record_fault(soak, "%s is killed", vm->name);
-	mark_vm_affected(soak, vm, 0);
-	if (vm->pid != 0)
-		kill(vm->pid, SIGKILL);
+	soak_vm_mark_affected(soak, vm, 0);
+	if (vm->pid == 0)
+		return;
+	vm->killed = true;
+	kill(vm->pid, SIGKILL);
 }
 
 static void
@@ -133,10 +81,8 @@
 	struct soak_vm *vm = &soak->vms[i];
 
 	soak_record_fault(soak, "%s is asked to stop", vm->name);
-	if (vm->pid == 0 || vm->stopping)
-		return;
-	vm->stopping = true;
-	kill(vm->pid, SIGTERM);
+	if (!vm->stopping)
+		soak_vm_stop(vm, random_below(soak, 2) == 0 ? SIGTERM : SIGINT);
 }
 
 static void
@@ -145,8 +91,7 @@
 	struct soak_vm *vm = &soak->vms[i];
 
 	soak_record_fault(soak, "%s reloads its settings", vm->name);
-	if (vm->pid != 0)
-		kill(vm->pid, SIGHUP);
+	soak_vm_signal(vm, SIGHUP);
 }
 
 static void
@@ -164,8 +109,9 @@
 
 	soak_record_fault(soak, "the store is %s for %.0f ms", fault, duration);
 	standin_store_set_fault(soak->store, fault);
-	soak->store_affected_until = soak_now(soak) + duration + RECOVERY_TIME;
-	schedule_action(soak, duration, 0, restore_store);
+	soak->store_affected_until =
+	    soak_now(soak) + duration + SOAK_RECOVERY_TIME;
+	action_schedule(soak, duration, 0, restore_store);
 }
 
 static void
@@ -185,8 +131,8 @@
 	    soak->vms[i].name, mode, duration);
 	proxy_set_mode(soak->vms[i].store, mode);
 	soak->store_affected_until = MAX(soak->store_affected_until,
-	    soak_now(soak) + duration + RECOVERY_TIME);
-	schedule_action(soak, duration, i, restore_store_link);
+	    soak_now(soak) + duration + SOAK_RECOVERY_TIME);
+	action_schedule(soak, duration, i, restore_store_link);
 }
 
 static void
@@ -206,7 +152,7 @@
 	    "the link of searcher %u is in mode %d for %.0f ms", i, mode,
 	    duration);
 	proxy_set_mode(soak->links[i], mode);
-	schedule_action(soak, duration, i, restore_link);
+	action_schedule(soak, duration, i, restore_link);
 }
 
 static char *
@@ -238,7 +184,7 @@
 	    soak, "searcher %s is %s for %.0f ms", id, mode, duration);
 	standin_searchers_set_mode(soak->searchers, id, mode);
 	g_free(id);
-	schedule_action(soak, duration, i, restore_searcher);
+	action_schedule(soak, duration, i, restore_searcher);
 }
 
 static void
@@ -265,30 +211,31 @@
 {
 	struct soak *soak = action->soak;
 	unsigned i = action->index;
+	struct drain *drain = action->data;
 	uint64_t arrivals = standin_searchers_arrivals(
 	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS);
-	struct timeval time = socket_timeval(DRAIN_CHECK_TIME);
 
 	if (action->stage++ == 0) {
-		action->arrivals = arrivals;
-		event_add(action->timer, &time);
+		drain->arrivals = arrivals;
+		action_repeat(action, DRAIN_CHECK_TIME);
 		return;
 	}
 	/*
 	 * If only its answers say that it is leaving, VMs that restart or that
 	 * it has not answered yet don't know.
 	 */
-	if (action->in_store && arrivals != action->arrivals &&
+	if (drain->in_store && arrivals != drain->arrivals &&
 	    soak_now(soak) >
 		soak->store_affected_until + DRAIN_BOUND + DRAIN_CHECK_TIME)
 		soak_record_violation(soak,
 		    "draining searcher %u got %u requests after the bound", i,
-		    (unsigned)(arrivals - action->arrivals));
+		    (unsigned)(arrivals - drain->arrivals));
 	soak->incarnations[i]++;
 	soak->draining[i] = false;
 	standin_searchers_set_leaving(
 	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS, false);
 	write_searcher(soak, i, false);
+	g_free(drain);
 	action_destroy(action);
 }
 
@@ -302,6 +249,7 @@
 	unsigned i = random_below(soak, SOAK_SERVICES) * SOAK_REPLICAS + 1 +
 	    random_below(soak, SOAK_REPLICAS - 1);
 	bool in_answers, in_store;
+	struct drain *drain;
 
 	/*
 	 * A second drain must not overlap the first: requests that arrive
@@ -318,8 +266,9 @@
 	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS, in_answers);
 	if (in_store)
 		write_searcher(soak, i, true);
-	schedule_action(soak, DRAIN_BOUND, i, check_drained)->in_store =
-	    in_store;
+	drain = g_new0(struct drain, 1);
+	drain->in_store = in_store;
+	action_schedule(soak, DRAIN_BOUND, i, check_drained)->data = drain;
 }
 
 /* Watches must read the lists again, in pages. */
@@ -355,7 +304,7 @@
 	soak_record_fault(soak, "an entry can't be read for %.0f ms", duration);
 	standin_store_write(
 	    soak->store, STANDIN_KIND_SEARCHERS, UNREADABLE_NAME, spec);
-	schedule_action(soak, duration, 0, remove_unreadable);
+	action_schedule(soak, duration, 0, remove_unreadable);
 }
 
 static void
@@ -377,7 +326,7 @@
 	    soak->random, MIN_FAULT_DURATION, MAX_FAULT_DURATION);
 	unsigned vm = random_below(soak, soak->n_vms);
 
-	switch (random_below(soak, 15)) {
+	switch (random_below(soak, 18)) {
 	case 0:
 		pause_vm(soak, vm, duration);
 		break;
@@ -416,6 +365,11 @@
 	case 13:
 		fail_searcher(soak, duration);
 		break;
+	case 14:
+	case 15:
+	case 16:
+		soak_inject_start_fault(soak, &soak->vms[vm], duration);
+		break;
 	default:
 		change_routes(soak);
 		break;
@@ -426,8 +380,6 @@
 inject_next_fault(struct action *action)
 {
 	struct soak *soak = action->soak;
-	struct timeval time = socket_timeval(g_rand_int_range(
-	    soak->random, MIN_FAULT_INTERVAL, MAX_FAULT_INTERVAL));
 
 	if (soak_now(soak) >= soak->faults_end_at) {
 		mark_all_vms_affected(soak, 0);
@@ -435,11 +387,13 @@
 		return;
 	}
 	inject_fault(soak);
-	event_add(action->timer, &time);
+	action_repeat(action,
+	    g_rand_int_range(
+		soak->random, MIN_FAULT_INTERVAL, MAX_FAULT_INTERVAL));
 }
 
 void
 soak_faults_start(struct soak *soak)
 {
-	schedule_action(soak, MAX_FAULT_INTERVAL, 0, inject_next_fault);
+	action_schedule(soak, MAX_FAULT_INTERVAL, 0, inject_next_fault);
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -7,7 +7,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include "daemon/system_clock.h"
@@ -19,13 +18,15 @@
 #define START_TIME 2500.0
 #define TIME_AFTER_FAULTS 7500.0
 /** Interval at which the processes are checked, ms. */
-#define CHECK_INTERVAL 20
+#define CHECK_INTERVAL 10
 /** Objects in a page of a list of the store. */
 #define PAGE_SIZE 4
 /** Maximum number of violations that are shown per run. */
 #define MAX_VIOLATIONS_SHOWN 20
-/** Ports per VM. */
-#define PORTS_PER_VM 6
+/** Ports per VM: those on which it listens and that of its store's proxy. */
+#define PORTS_PER_VM (SOAK_LISTENERS + 1)
+/** Time before the end of a run in which each VM must serve a probe, ms. */
+#define LAST_PROBE_TIME 2000.0
 /** Minimum ratio of requests served after all faults have ended. */
 #define MIN_SERVED_RATIO 0.95
 
@@ -37,6 +38,7 @@
 	unsigned vms;
 	const char *report;
 	const char *program;
+	bool skip_memory_check;
 };
 
 wv_msec
@@ -77,34 +79,34 @@
 }
 
 static void
-write_settings(const struct soak *soak, const struct soak_vm *vm,
-    const unsigned int *ports)
+write_settings(
+    const struct soak *soak, struct soak_vm *vm, const unsigned int *ports)
 {
 	struct standin_vm_config standin = {.name = vm->name,
-	    .callers = vm->callers,
-	    .addresses = vm->addresses,
+	    .callers = vm->listeners[SOAK_CALLERS],
+	    .addresses = vm->listeners[SOAK_ADDRESSES],
 	    .store = proxy_address(vm->store),
 	    .ip = soak->ip,
-	    .readiness = ports[2],
-	    .peers = ports[3],
-	    .metrics = ports[4],
+	    .readiness = ports[SOAK_READINESS],
+	    .peers = ports[SOAK_PEERS],
+	    .metrics = ports[SOAK_METRICS],
 	    .stop_s = 4};
-	char *text = standin_vm_settings(&standin);
 
-	g_file_set_contents(vm->settings, text, -1, NULL);
-	g_free(text);
+	vm->settings_text = standin_vm_settings(&standin);
+	g_file_set_contents(vm->settings, vm->settings_text, -1, NULL);
 }
 
 static void
 create_vm(struct soak *soak, struct soak_vm *vm, unsigned i,
     const unsigned int *ports, const char *store)
 {
-	char *address = g_strdup_printf("%s:%u", soak->ip, ports[5]);
+	char *address =
+	    g_strdup_printf("%s:%u", soak->ip, ports[SOAK_LISTENERS]);
 
 	vm->name = g_strdup_printf("vm%u", i);
 	vm->settings = g_strdup_printf("%s/vm%u.json", soak->dir, i);
-	vm->callers = g_strdup_printf("%s:%u", soak->ip, ports[0]);
-	vm->addresses = g_strdup_printf("%s:%u", soak->ip, ports[1]);
+	for (unsigned j = 0; j < SOAK_LISTENERS; j++)
+		vm->listeners[j] = g_strdup_printf("%s:%u", soak->ip, ports[j]);
 	vm->store = proxy_create(soak->base, address, store);
 	write_settings(soak, vm, ports);
 	soak_vm_start(soak, vm);
@@ -222,17 +224,25 @@
 		    "%u of %u requests were served after the last fault",
 		    soak->served_after_faults, soak->requests_after_faults);
 	json_object_unref(report);
+	for (unsigned i = 0; i < soak->n_vms; i++) {
+		if (soak->vms[i].served_at < soak_now(soak) - LAST_PROBE_TIME)
+			soak_record_violation(soak,
+			    "%s does not serve after the last fault",
+			    soak->vms[i].name);
+	}
 }
 
-static void
-kill_vms(struct soak *soak)
+/* Creates an event loop whose timers are accurate to less than 1 ms. */
+static struct event_base *
+create_event_loop(void)
 {
-	for (unsigned i = 0; i < soak->n_vms; i++) {
-		if (soak->vms[i].pid == 0)
-			continue;
-		kill(soak->vms[i].pid, SIGKILL);
-		waitpid(soak->vms[i].pid, NULL, 0);
-	}
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
 }
 
 /* Gives each run its own loopback address, so that ports do not collide. */
@@ -249,13 +259,15 @@
 static bool
 run(const struct options *options, uint32_t seed)
 {
-	struct soak soak = {
-	    .seed = seed, .n_vms = options->vms, .program = options->program};
+	struct soak soak = {.seed = seed,
+	    .n_vms = options->vms,
+	    .program = options->program,
+	    .check_memory = !options->skip_memory_check};
 	char *dir = g_strdup("/tmp/wisteriavane-soak-XXXXXX");
 
 	system_clock_init(&soak.clock);
 	soak.dir = g_mkdtemp(dir);
-	soak.base = event_base_new();
+	soak.base = create_event_loop();
 	soak.random = g_rand_new_with_seed(seed);
 	soak.violations = g_string_new(NULL);
 	soak.faults = g_string_new(NULL);
@@ -267,10 +279,11 @@
 	run_until(&soak, soak_now(&soak) + START_TIME);
 	soak.faults_end_at = soak_now(&soak) + options->seconds * 1000;
 	soak_callers_start(&soak, 24);
+	soak_probes_start(&soak);
 	soak_faults_start(&soak);
 	run_until(&soak, soak.faults_end_at + TIME_AFTER_FAULTS);
 	check_run(&soak);
-	kill_vms(&soak);
+	soak_kill_vms(&soak);
 	printf("seed %u: %u requests, %u served, %u refused, %u failed, "
 	       "%u violations%s%s\n%s",
 	    seed, soak.requests, soak.served, soak.refused, soak.failed,
@@ -291,6 +304,10 @@
     {"report", 'r', "FILE", 0,
 	"write an HTML report with plots of the last run", 0},
     {"program", 'p', "FILE", 0, "server program (build/wisteriavane-entry)", 0},
+    {"skip-memory-check", 'm', NULL, 0,
+	"for programs that are built with a sanitizer, which needs memory of "
+	"its own",
+	0},
     {0},
 };
 
@@ -320,6 +337,9 @@
 	case 'p':
 		options->program = arg;
 		return 0;
+	case 'm':
+		options->skip_memory_check = true;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -1,92 +1,158 @@
 /**
  * @file
- * Starts, monitors and restarts the processes of the soak's VMs.
+ * Monitors and restarts the processes of the soak's VMs.
  */
-#include <errno.h>
-#include <fcntl.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "soak/launch.h"
 #include "soak/soak.h"
 
 /** Time after a start during which requests may fail, ms. */
 #define START_GRACE 1500.0
-/** Exit code of a child that could not execute the program. */
-#define EXIT_NO_PROGRAM 127
-/** Time between the end of a process and its restart, ms. */
-#define RESTART_DELAY 200.0
-
-/*
- * Forks. SIGTERM and SIGHUP stay blocked in the child, so that a signal sent
- * right after the start is pending until the server handles it.
- */
-static pid_t
-fork_with_blocked_signals(void)
-{
-	sigset_t signals, previous_mask;
-	pid_t pid;
-
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGHUP);
-	sigprocmask(SIG_BLOCK, &signals, &previous_mask);
-	pid = fork();
-	if (pid != 0)
-		sigprocmask(SIG_SETMASK, &previous_mask, NULL);
-	return pid;
-}
+/** Limit of the resident memory of a process, KB. */
+#define MAX_MEMORY_KB (260ul * 1000)
 
 void
 soak_vm_start(struct soak *soak, struct soak_vm *vm)
 {
 	char *log = g_strdup_printf("%s/%s.log", soak->dir, vm->name);
+	int end = -1;
 
-	vm->pid = fork_with_blocked_signals();
-	if (vm->pid == 0) {
-		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
-
-		dup2(fd, STDOUT_FILENO);
-		execl(soak->program, soak->program, "--settings", vm->settings,
-		    (char *)NULL);
-		_exit(EXIT_NO_PROGRAM);
-	}
+	vm->output = output_create(soak->base, log, &end);
+	soak_draw_output(soak, vm);
+	vm->pid = launch_program(soak->program, vm->settings, end);
+	close(end);
 	vm->stopping = false;
 	vm->paused = false;
+	vm->killed = false;
+	vm->answered = false;
+	vm->start_late = false;
+	vm->too_large = false;
 	vm->restart_at = 0;
-	vm->affected_until = soak_now(soak) + START_GRACE;
+	vm->start_due = soak_now(soak) + SOAK_START_BOUND;
+	vm->affected_until =
+	    MAX(vm->affected_until, soak_now(soak) + START_GRACE);
+	soak_signals_start(soak, vm);
 	g_free(log);
 }
 
-/* Records the end of a process: only a stop or a kill is expected. */
+void
+soak_vm_mark_affected(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+{
+	vm->affected_until = MAX(
+	    vm->affected_until, soak_now(soak) + duration + SOAK_RECOVERY_TIME);
+}
+
+void
+soak_vm_begin_obstacle(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+{
+	vm->obstacles++;
+	soak_vm_mark_affected(soak, vm, duration);
+}
+
+void
+soak_vm_end_obstacle(struct soak *soak, struct soak_vm *vm)
+{
+	vm->obstacles--;
+	vm->start_due = soak_now(soak) + SOAK_START_BOUND;
+	/* It may use all of the bound before it serves. */
+	soak_vm_mark_affected(soak, vm, SOAK_START_BOUND);
+}
+
+/*
+ * Records the end of a process: only a stop or a kill by the soak is expected.
+ */
 static void
 record_exit(struct soak *soak, struct soak_vm *vm, int status)
 {
-	bool stop_requested = vm->stopping;
+	bool expected =
+	    vm->killed && WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
 
+	output_destroy(vm->output);
+	vm->output = NULL;
 	vm->pid = 0;
-	vm->restart_at = soak_now(soak) + RESTART_DELAY;
-	vm->affected_until = vm->restart_at + START_GRACE;
-	if (WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL)
-		return;
-	if (!stop_requested || !WIFEXITED(status) || WEXITSTATUS(status) != 0)
+	soak_draw_restart(soak, vm);
+	vm->affected_until =
+	    MAX(vm->affected_until, vm->restart_at + START_GRACE);
+	if (vm->stopping && WIFEXITED(status) && WEXITSTATUS(status) == 0)
+		expected = true;
+	if (!expected)
 		soak_record_violation(soak, "%s ended by itself: %s %d",
 		    vm->name, WIFEXITED(status) ? "exit code" : "signal",
 		    WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status));
 }
 
+static void
+check_memory(struct soak *soak, struct soak_vm *vm)
+{
+	unsigned long peak;
+
+	if (!soak->check_memory || vm->too_large)
+		return;
+	peak = launch_peak_memory(vm->pid);
+	vm->too_large = peak > MAX_MEMORY_KB;
+	if (vm->too_large)
+		soak_record_violation(
+		    soak, "%s uses %lu KB of memory", vm->name, peak);
+}
+
+/* Checks that a process that could start has answered callers in time. */
+static void
+check_start(struct soak *soak, struct soak_vm *vm)
+{
+	if (vm->answered || vm->start_late || vm->paused || vm->stopping ||
+	    vm->killed || vm->obstacles > 0 || soak_now(soak) < vm->start_due)
+		return;
+	vm->start_late = true;
+	soak_record_violation(soak, "%s did not start within %.0f ms", vm->name,
+	    SOAK_START_BOUND);
+}
+
+static void
+check_vm(struct soak *soak, struct soak_vm *vm)
+{
+	int status;
+
+	if (vm->pid != 0 && waitpid(vm->pid, &status, WNOHANG) == vm->pid)
+		record_exit(soak, vm, status);
+	if (vm->pid == 0 && vm->restart_at != 0 &&
+	    soak_now(soak) >= vm->restart_at)
+		soak_vm_start(soak, vm);
+	if (vm->pid == 0)
+		return;
+	check_memory(soak, vm);
+	check_start(soak, vm);
+}
+
 void
 soak_check_vms(struct soak *soak)
+{
+	for (unsigned i = 0; i < soak->n_vms; i++)
+		check_vm(soak, &soak->vms[i]);
+}
+
+/* Kills a process and reads the rest of its output. */
+static void
+kill_process(pid_t pid, struct output *output)
+{
+	if (pid == 0)
+		return;
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+	output_destroy(output);
+}
+
+void
+soak_kill_vms(struct soak *soak)
 {
 	for (unsigned i = 0; i < soak->n_vms; i++) {
 		struct soak_vm *vm = &soak->vms[i];
-		int status;
-
-		if (vm->pid != 0 &&
-		    waitpid(vm->pid, &status, WNOHANG) == vm->pid)
-			record_exit(soak, vm, status);
-		if (vm->pid == 0 && vm->restart_at != 0 &&
-		    soak_now(soak) >= vm->restart_at)
-			soak_vm_start(soak, vm);
+
+		kill_process(vm->pid, vm->output);
+		kill_process(vm->former_pid, vm->former_output);
+		vm->pid = 0;
+		vm->former_pid = 0;
 	}
 }
