--- a/soak/vms.c
+++ b/soak/vms.c
@@ -3,6 +3,7 @@
  * Monitors and restarts the processes of the soak's VMs.
  */
 #include <signal.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,10 +15,17 @@
 /** Limit of the resident memory of a process, KB. */
 #define MAX_MEMORY_KB (260ul * 1000)
 
+/* Returns the path of the log of a VM; the caller owns it. */
+static char *
+log_path(const struct soak *soak, const struct soak_vm *vm)
+{
+	return g_strdup_printf("%s/%s.log", soak->dir, vm->name);
+}
+
 void
 soak_vm_start(struct soak *soak, struct soak_vm *vm)
 {
-	char *log = g_strdup_printf("%s/%s.log", soak->dir, vm->name);
+	char *log = log_path(soak, vm);
 	int end = -1;
 
 	vm->output = output_create(soak->base, log, &end);
@@ -61,27 +69,56 @@
 	soak_vm_mark_affected(soak, vm, SOAK_START_BOUND);
 }
 
-/*
- * Records the end of a process: only a stop or a kill by the soak is expected.
- */
+/* Returns the last line of the log of a VM; the caller owns it. */
+static char *
+read_last_line(const struct soak *soak, const struct soak_vm *vm)
+{
+	char *log = log_path(soak, vm);
+	char *text = NULL;
+	char *line;
+
+	if (g_file_get_contents(log, &text, NULL, NULL))
+		g_strchomp(text);
+	line = text != NULL ? strrchr(text, '\n') : NULL;
+	line = g_strdup(line != NULL ? line + 1 : text);
+	g_free(text);
+	g_free(log);
+	return line;
+}
+
+/* Records that a process has ended by itself, with the last line of its log. */
 static void
-record_exit(struct soak *soak, struct soak_vm *vm, int status)
+record_unexpected_exit(struct soak *soak, const struct soak_vm *vm, int status)
 {
-	bool expected =
-	    vm->killed && WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+	char *line = read_last_line(soak, vm);
 
+	soak_record_violation(soak, "%s ended by itself: %s %d, last line: %s",
+	    vm->name, WIFEXITED(status) ? "exit code" : "signal",
+	    WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status),
+	    line != NULL ? line : "none");
+	g_free(line);
+}
+
+/* Returns whether the soak has asked for such an end of a process. */
+static bool
+is_expected_exit(const struct soak_vm *vm, int status)
+{
+	if (WIFSIGNALED(status))
+		return vm->killed && WTERMSIG(status) == SIGKILL;
+	return vm->stopping && WEXITSTATUS(status) == 0;
+}
+
+static void
+record_exit(struct soak *soak, struct soak_vm *vm, int status)
+{
 	output_destroy(vm->output);
 	vm->output = NULL;
 	vm->pid = 0;
+	if (!is_expected_exit(vm, status))
+		record_unexpected_exit(soak, vm, status);
 	soak_draw_restart(soak, vm);
 	vm->affected_until =
 	    MAX(vm->affected_until, vm->restart_at + START_GRACE);
-	if (vm->stopping && WIFEXITED(status) && WEXITSTATUS(status) == 0)
-		expected = true;
-	if (!expected)
-		soak_record_violation(soak, "%s ended by itself: %s %d",
-		    vm->name, WIFEXITED(status) ? "exit code" : "signal",
-		    WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status));
 }
 
 static void
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -121,7 +121,8 @@
     -DWV_SANITIZE=address,undefined
 run_tests build-address
 run_check build-address/soak run_quietly build/wisteriavane-soak --seeds 3 \
-    --seconds 5 --skip-memory-check --program build-address/wisteriavane-entry
+    --seconds 5 --skip-memory-check \
+    --program build-address/wisteriavane-entry
 # The thread sanitizer checks only code whose threads communicate through the
 # mailbox: it does not know the locks of GLib or the grace periods of liburcu,
 # which it reports as races.
