Keep signals from ending the daemon during a start

SIGHUP was never blocked or handled and ended the daemon at any moment, as did SIGUSR1 and other signals that ask for nothing.

The daemon is now a module that launch/main.c loads after it has blocked the handled signals. The main thread takes them one by one: SIGTERM and SIGINT begin a planned stop, a SIGHUP is logged and ignored, since settings are read at the start only.

test_daemon_start holds the dynamic loader while it sends signals.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -2,10 +2,8 @@
  * @file
  * wisteriavaned: the server process of one entry VM.
  */
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
 #include <apr_general.h>
 #include <curl/curl.h>
@@ -16,16 +14,18 @@
 #include "daemon/links.h"
 #include "daemon/operators.h"
 #include "daemon/options.h"
+#include "daemon/signals.h"
 #include "daemon/system_clock.h"
 #include "daemon/worker.h"
+#include "launch/server_main.h"
 
 /** Number of random low bits of an incarnation. */
 #define INCARNATION_RANDOM_BITS 16
 /** Maximum body of an operator's call, bytes; a contract may have up to 1 MB.
  */
 #define MAX_OPERATOR_BODY (1u << 20)
-/** Interval of the checks whether a planned stop has finished, ns. */
-#define STOP_POLL_INTERVAL_NS 20000000L
+/** Interval of the checks whether a planned stop has finished, ms. */
+#define STOP_POLL_INTERVAL 20
 /** Time for the HTTP servers to send the last answers, us. */
 #define FINAL_ANSWERS_DELAY_US 100000L
 
@@ -147,12 +147,10 @@
 
 /* Waits for the end of a planned stop, which a signal or a call may begin. */
 static void
-wait_for_stop(struct daemon *daemon, const sigset_t *signals)
+wait_for_stop(struct daemon *daemon)
 {
-	const struct timespec interval = {0, STOP_POLL_INTERVAL_NS};
-
 	while (!atomic_load(&daemon->stopped)) {
-		if (sigtimedwait(signals, NULL, &interval) > 0)
+		if (signals_wait_for_stop(STOP_POLL_INTERVAL))
 			control_begin_drain(daemon->control, true);
 	}
 	g_usleep(FINAL_ANSWERS_DELAY_US);
@@ -160,7 +158,7 @@
 
 /* Runs the server until it is stopped; returns the exit code. */
 static int
-serve(struct daemon *daemon, const sigset_t *signals)
+serve(struct daemon *daemon)
 {
 	struct wv_http_server *callers_server, *operators_server;
 	struct operators operators;
@@ -179,7 +177,7 @@
 	}
 	g_message("%s started, incarnation %" G_GUINT64_FORMAT,
 	    daemon->self.name.data, daemon->self.incarnation);
-	wait_for_stop(daemon, signals);
+	wait_for_stop(daemon);
 	wv_http_server_stop(callers_server);
 	wv_http_server_stop(operators_server);
 	stop_components(daemon);
@@ -188,22 +186,16 @@
 }
 
 int
-main(int argc, char **argv)
+server_main(int argc, char **argv)
 {
 	struct options options = options_parse(
 	    argc, argv, "An entry VM of the wisteriavane query tier.");
 	struct wv_settings *settings;
 	struct daemon *daemon;
-	sigset_t signals;
 	int result;
 
 	if (options.check != NULL)
 		return check_settings(options.check);
-	sigemptyset(&signals);
-	sigaddset(&signals, SIGTERM);
-	sigaddset(&signals, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &signals, NULL);
-	signal(SIGPIPE, SIG_IGN);
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	settings = read_settings(options.settings);
@@ -218,7 +210,7 @@
 	daemon->contracts = wv_contract_table_create();
 	atomic_init(&daemon->accepting_requests, true);
 	daemon_register_thread();
-	result = serve(daemon, &signals);
+	result = serve(daemon);
 	g_free(daemon);
 	apr_terminate();
 	return result;
--- /dev/null
+++ b/test/test_daemon_start.c
@@ -0,0 +1,358 @@
+/**
+ * @file
+ * Tests of the daemon's start and end: signals that arrive at any moment, from
+ * a launcher that neither blocks nor ignores any, must not end the process by
+ * their default effect.
+ */
+#include <sys/prctl.h>
+
+#include <errno.h>
+#include <fcntl.h>
+#include <gio/gio.h>
+#include <limits.h>
+#include <poll.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+
+#include "standin/common/ports.h"
+
+/** Number of addresses of a daemon that it listens on. */
+#define N_LISTENERS 3
+/** Number of addresses in the settings; nothing listens on the others. */
+#define N_ADDRESSES 5
+/** Maximum time for an event that must come, ms. */
+#define EVENT_TIMEOUT 20000
+/** Starts of the test of a series of signals. */
+#define N_SERIES 12
+/** Most signals in a series, and longest time between two of them, us. */
+#define MAX_SIGNALS 12
+#define MAX_SIGNAL_INTERVAL_US 3000
+
+/* A daemon whose standard error is a pipe to the test. Strings are owned. */
+struct server {
+	char *dir;
+	char *settings; /* path of the file */
+	char *json; /* content of the file */
+	char *addresses[N_ADDRESSES];
+	GSubprocess *process;
+	GString *log; /* what was read from the pipe */
+	int log_end; /* of the pipe; -1 after its end was read */
+};
+
+static struct server *
+server_create(void)
+{
+	struct server *server = g_new0(struct server, 1);
+	unsigned int ports[N_ADDRESSES];
+
+	server->dir = g_dir_make_tmp("wisteriavane-test-XXXXXX", NULL);
+	server->settings = g_build_filename(server->dir, "settings.json", NULL);
+	g_assert_true(standin_free_ports(ports, N_ADDRESSES));
+	for (size_t i = 0; i < N_ADDRESSES; i++)
+		server->addresses[i] =
+		    g_strdup_printf("127.0.0.1:%u", ports[i]);
+	server->json = g_strdup_printf(
+	    "{\"vm\":\"vm0\",\"zone\":\"z0\",\"deployment\":\"test\","
+	    "\"callers\":\"%s\",\"operators\":\"%s\",\"peers\":\"%s\","
+	    "\"store\":\"%s\",\"vm_list\":\"%s\","
+	    "\"operator_token\":\"test-operator-token\","
+	    "\"address_lifetime_ms\":100}",
+	    server->addresses[0], server->addresses[1], server->addresses[2],
+	    server->addresses[3], server->addresses[4]);
+	g_assert_true(
+	    g_file_set_contents(server->settings, server->json, -1, NULL));
+	server->log = g_string_new(NULL);
+	server->log_end = -1;
+	return server;
+}
+
+/* Kills the child when the test ends, so that an aborted test leaves none. */
+static void
+prepare_child(void *data)
+{
+	(void)data;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+/*
+ * Starts the daemon.
+ *
+ * ld_debug: reports that the dynamic loader writes to the pipe, or NULL
+ */
+static void
+server_spawn(struct server *server, const char *ld_debug)
+{
+	GSubprocessLauncher *launcher =
+	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	GError *error = NULL;
+	int ends[2];
+
+	g_assert_cmpint(pipe2(ends, O_CLOEXEC), ==, 0);
+	fcntl(ends[1], F_SETPIPE_SZ, PIPE_BUF);
+	if (ld_debug != NULL)
+		g_subprocess_launcher_setenv(
+		    launcher, "LD_DEBUG", ld_debug, TRUE);
+	g_subprocess_launcher_take_stderr_fd(launcher, ends[1]);
+	g_subprocess_launcher_set_child_setup(
+	    launcher, prepare_child, NULL, NULL);
+	server->process = g_subprocess_launcher_spawn(launcher, &error,
+	    WV_BUILD_DIR "/wisteriavaned", "--settings", server->settings,
+	    NULL);
+	g_assert_no_error(error);
+	g_object_unref(launcher);
+	server->log_end = ends[0];
+}
+
+/* Reads what is there; returns false at the end of the pipe or after ms. */
+static bool
+read_log(struct server *server, int ms)
+{
+	struct pollfd poll_fd = {server->log_end, POLLIN, 0};
+	char buffer[PIPE_BUF];
+	ssize_t n;
+
+	if (server->log_end < 0 || poll(&poll_fd, 1, ms) <= 0)
+		return false;
+	n = read(server->log_end, buffer, sizeof(buffer));
+	if (n <= 0) {
+		close(server->log_end);
+		server->log_end = -1;
+		return false;
+	}
+	g_string_append_len(server->log, buffer, n);
+	return true;
+}
+
+/* Waits until the daemon has logged a text. */
+static void
+wait_logged(struct server *server, const char *text)
+{
+	bool more = true;
+
+	while (more && strstr(server->log->str, text) == NULL)
+		more = read_log(server, EVENT_TIMEOUT);
+	if (strstr(server->log->str, text) == NULL)
+		g_test_message("not logged: %s\n%s", text, server->log->str);
+	g_assert_nonnull(strstr(server->log->str, text));
+}
+
+/* Reads the log for a time. */
+static void
+run_for(struct server *server, gint64 us)
+{
+	gint64 end = g_get_monotonic_time() + us;
+	gint64 left;
+
+	while ((left = end - g_get_monotonic_time()) > 0) {
+		if (!read_log(server, (int)(left / 1000)))
+			g_usleep((gulong)MIN(left, 1000));
+	}
+}
+
+/* Waits until the daemon has ended by itself and asserts its exit code. */
+static void
+expect_exit(struct server *server, int code)
+{
+	while (read_log(server, EVENT_TIMEOUT))
+		;
+	/* The pipe's end was read: the process ends or has ended. */
+	g_assert_cmpint(server->log_end, ==, -1);
+	g_assert_true(g_subprocess_wait(server->process, NULL, NULL));
+	g_assert_true(g_subprocess_get_if_exited(server->process));
+	g_assert_cmpint(
+	    g_subprocess_get_exit_status(server->process), ==, code);
+}
+
+static void
+expect_planned_stop(struct server *server)
+{
+	expect_exit(server, 0);
+	g_assert_nonnull(strstr(server->log->str, "stopped"));
+}
+
+static void
+stop_server(struct server *server)
+{
+	g_subprocess_send_signal(server->process, SIGTERM);
+	expect_planned_stop(server);
+}
+
+static void
+server_destroy(struct server *server)
+{
+	if (server->log_end >= 0)
+		close(server->log_end);
+	g_object_unref(server->process);
+	g_unlink(server->settings);
+	g_rmdir(server->dir);
+	for (size_t i = 0; i < N_ADDRESSES; i++)
+		g_free(server->addresses[i]);
+	g_free(server->dir);
+	g_free(server->settings);
+	g_free(server->json);
+	g_string_free(server->log, TRUE);
+	g_free(server);
+}
+
+/*
+ * Starts the daemon and waits until its loader has opened a library that it
+ * needs. The loader then waits for space in the pipe, so the start goes no
+ * further before the log is read on.
+ */
+static struct server *
+start_loading(void)
+{
+	struct server *server = server_create();
+
+	server_spawn(server, "files,bindings");
+	wait_logged(server, "libglib-2.0");
+	return server;
+}
+
+static struct server *
+start_server(void)
+{
+	struct server *server = server_create();
+
+	server_spawn(server, NULL);
+	wait_logged(server, "vm0 started");
+	return server;
+}
+
+/*
+ * A SIGHUP asks a server for a reload. The daemon can't reload its settings; it
+ * must say so and serve on.
+ */
+static void
+test_hangup_while_loading(void)
+{
+	struct server *server = start_loading();
+
+	g_subprocess_send_signal(server->process, SIGHUP);
+	wait_logged(server, "vm0 started");
+	wait_logged(server, "SIGHUP");
+	stop_server(server);
+	server_destroy(server);
+}
+
+static void
+test_hangup_while_serving(void)
+{
+	struct server *server = start_server();
+
+	g_subprocess_send_signal(server->process, SIGHUP);
+	wait_logged(server, "SIGHUP");
+	stop_server(server);
+	server_destroy(server);
+}
+
+/* A stop that is requested during a start is a planned stop: exit code 0. */
+static void
+test_stop_while_loading(gconstpointer data)
+{
+	struct server *server = start_loading();
+
+	g_subprocess_send_signal(server->process, GPOINTER_TO_INT(data));
+	expect_planned_stop(server);
+	server_destroy(server);
+}
+
+static void
+test_hangup_and_stop_while_loading(void)
+{
+	struct server *server = start_loading();
+
+	g_subprocess_send_signal(server->process, SIGHUP);
+	g_subprocess_send_signal(server->process, SIGTERM);
+	expect_planned_stop(server);
+	server_destroy(server);
+}
+
+/* Sends a random series of the signals that servers handle. */
+static void
+send_series(struct server *server, GRand *random)
+{
+	static const int signals[] = {SIGHUP, SIGTERM, SIGINT};
+	int n = g_rand_int_range(random, 1, MAX_SIGNALS);
+
+	for (int i = 0; i < n; i++) {
+		run_for(server,
+		    g_rand_int_range(random, 0, MAX_SIGNAL_INTERVAL_US));
+		g_subprocess_send_signal(server->process,
+		    signals[g_rand_int_range(
+			random, 0, G_N_ELEMENTS(signals))]);
+	}
+	g_subprocess_send_signal(server->process, SIGTERM);
+}
+
+/* A series of signals during a start and a stop ends in one planned stop. */
+static void
+test_series(void)
+{
+	GRand *random = g_rand_new_with_seed(30);
+
+	for (int i = 0; i < N_SERIES; i++) {
+		struct server *server = start_loading();
+
+		send_series(server, random);
+		expect_planned_stop(server);
+		server_destroy(server);
+	}
+	g_rand_free(random);
+}
+
+/* Signals during a stop change nothing: it remains one planned stop. */
+static void
+test_series_during_stop(void)
+{
+	GRand *random = g_rand_new_with_seed(31);
+	struct server *server = start_server();
+
+	g_subprocess_send_signal(server->process, SIGTERM);
+	send_series(server, random);
+	expect_planned_stop(server);
+	server_destroy(server);
+	g_rand_free(random);
+}
+
+/*
+ * Signals that neither ask for a stop nor for a reload, such as the alarm that
+ * a launcher set before it executed the program, end nothing.
+ */
+static void
+test_other_signals(void)
+{
+	static const int signals[] = {
+	    SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGPIPE};
+	struct server *server = start_server();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++)
+		g_subprocess_send_signal(server->process, signals[i]);
+	run_for(server, 100000);
+	stop_server(server);
+	server_destroy(server);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+	    "/daemon-start/hangup-while-loading", test_hangup_while_loading);
+	g_test_add_func(
+	    "/daemon-start/hangup-while-serving", test_hangup_while_serving);
+	g_test_add_data_func("/daemon-start/terminate-while-loading",
+	    GINT_TO_POINTER(SIGTERM), test_stop_while_loading);
+	g_test_add_data_func("/daemon-start/interrupt-while-loading",
+	    GINT_TO_POINTER(SIGINT), test_stop_while_loading);
+	g_test_add_func("/daemon-start/hangup-and-stop-while-loading",
+	    test_hangup_and_stop_while_loading);
+	g_test_add_func("/daemon-start/series", test_series);
+	g_test_add_func(
+	    "/daemon-start/series-during-stop", test_series_during_stop);
+	g_test_add_func("/daemon-start/other-signals", test_other_signals);
+	return g_test_run();
+}
