Wait for a port in use when the daemon starts

The daemon ended with exit code 1 as soon as one of its three ports was in use, for example by the previous process or as the source port of another one's connection, and so again at each restart. The ports of callers and operators were opened after the VM had begun to take part in the deployment, and a failure there returned from main() while all threads ran.

daemon/start.c now opens the three sockets before anything else starts. It tries again after pauses that double from 20 ms to 1 s (daemon/pause.h), logs start_waits and start_continues, and ends with exit code 0 if a stop is asked for meanwhile. All are bound before the first one listens, so that no caller waits for a connection that nobody accepts. The links fail with a status if they get no descriptor, and all threads are stopped if an HTTP server can't start.

--- a/daemon/links.c
+++ b/daemon/links.c
@@ -403,20 +403,14 @@
 	return NULL;
 }
 
+/* Accepts connections of other VMs on a socket; takes it over. */
 static bool
-listen_on(struct links *links, struct wv_string address)
+add_listener(struct links *links, int listener)
 {
-	apr_sockaddr_t *local = parse_address(address, links->pool);
 	apr_pollfd_t poll = {0};
 
-	if (local == NULL ||
-	    apr_socket_create(&links->listener, APR_INET, SOCK_STREAM,
-		APR_PROTO_TCP, links->pool) != APR_SUCCESS)
-		return false;
-	apr_socket_opt_set(links->listener, APR_SO_REUSEADDR, 1);
-	apr_socket_opt_set(links->listener, APR_SO_NONBLOCK, 1);
-	if (apr_socket_bind(links->listener, local) != APR_SUCCESS ||
-	    apr_socket_listen(links->listener, SOMAXCONN) != APR_SUCCESS)
+	if (apr_os_sock_put(&links->listener, &listener, links->pool) !=
+	    APR_SUCCESS)
 		return false;
 	poll.p = links->pool;
 	poll.desc_type = APR_POLL_SOCKET;
@@ -426,25 +420,26 @@
 }
 
 struct links *
-links_create(struct daemon *daemon, struct wv_status *status)
+links_create(struct daemon *daemon, int listener, struct wv_status *status)
 {
 	struct links *links = g_new0(struct links, 1);
 
 	links->daemon = daemon;
 	apr_pool_create(&links->pool, NULL);
-	apr_pollset_create(
-	    &links->pollset, MAX_LINKS + 1, links->pool, APR_POLLSET_WAKEABLE);
+	if (apr_pollset_create(&links->pollset, MAX_LINKS + 1, links->pool,
+		APR_POLLSET_WAKEABLE) != APR_SUCCESS ||
+	    !add_listener(links, listener)) {
+		wv_status_set(status, WV_INTERNAL,
+		    "no descriptors left for connections of other VMs");
+		apr_pool_destroy(links->pool);
+		g_free(links);
+		return NULL;
+	}
 	links->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	links->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	wv_frame_counters_init(&links->frames);
 	forwards_init(links);
 	mailbox_init(&links->mailbox, wake_up, links);
-	if (!listen_on(links, daemon->settings->peers)) {
-		wv_status_set(status, WV_INTERNAL,
-		    "cannot listen for other VMs on %s",
-		    daemon->settings->peers.data);
-		return NULL;
-	}
 	return links;
 }
 
@@ -478,6 +473,7 @@
 	forwards_clear(links);
 	g_hash_table_destroy(links->by_id);
 	g_hash_table_destroy(links->by_address);
+	apr_socket_close(links->listener);
 	apr_pool_destroy(links->pool);
 	g_free(links);
 }
--- a/daemon/links.h
+++ b/daemon/links.h
@@ -12,13 +12,15 @@
 #include "proto/peer.pb-c.h"
 
 /**
- * Creates the links and listens for connections of other VMs. The daemon is
- * borrowed and must outlive them.
+ * Creates the links. The daemon is borrowed and must outlive them.
  *
- * @return NULL, with the status set to WV_INTERNAL, if the configured peer
- *         address cannot be bound
+ * @param listener  listening socket for connections of other VMs, which is not
+ *                  blocking; the links take it over
+ * @return NULL, with the status set to WV_INTERNAL, if the process has no
+ *         descriptors left
  */
-struct links *links_create(struct daemon *daemon, struct wv_status *status);
+struct links *links_create(
+    struct daemon *daemon, int listener, struct wv_status *status);
 
 /** Starts the links' thread. */
 void links_start(struct links *links);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -15,6 +15,7 @@
 #include "daemon/operators.h"
 #include "daemon/options.h"
 #include "daemon/signals.h"
+#include "daemon/start.h"
 #include "daemon/system_clock.h"
 #include "daemon/worker.h"
 #include "launch/server_main.h"
@@ -79,9 +80,9 @@
 
 /* Creates and starts workers, links and control; false with a status. */
 static bool
-start_components(struct daemon *daemon, struct wv_status *status)
+start_components(struct daemon *daemon, int listener, struct wv_status *status)
 {
-	daemon->links = links_create(daemon, status);
+	daemon->links = links_create(daemon, listener, status);
 	if (daemon->links == NULL)
 		return false;
 	daemon->n_workers = daemon->settings->workers;
@@ -118,13 +119,14 @@
 }
 
 static struct wv_http_server *
-start_callers_server(
-    struct daemon *daemon, struct callers *callers, struct wv_status *status)
+start_callers_server(struct daemon *daemon, struct callers *callers,
+    int listener, struct wv_status *status)
 {
 	struct wv_http_server_config config = {0};
 
 	callers_init(callers, daemon);
 	config.address = daemon->settings->callers;
+	config.listener = listener;
 	config.threads = daemon->settings->callers_threads;
 	config.max_body = daemon->settings->max_body;
 	config.idle_timeout = daemon->settings->idle_timeout;
@@ -133,12 +135,13 @@
 
 static struct wv_http_server *
 start_operators_server(struct daemon *daemon, struct operators *operators,
-    struct wv_status *status)
+    int listener, struct wv_status *status)
 {
 	struct wv_http_server_config config = {0};
 
 	operators_init(operators, daemon);
 	config.address = daemon->settings->operators;
+	config.listener = listener;
 	config.threads = 1;
 	config.max_body = MAX_OPERATOR_BODY;
 	config.idle_timeout = daemon->settings->idle_timeout;
@@ -156,33 +159,56 @@
 	g_usleep(FINAL_ANSWERS_DELAY_US);
 }
 
-/* Runs the server until it is stopped; returns the exit code. */
+/* Runs the servers until they are stopped; returns the exit code. */
 static int
-serve(struct daemon *daemon)
+run_servers(struct daemon *daemon, const struct start_listeners *listeners)
 {
 	struct wv_http_server *callers_server, *operators_server;
 	struct operators operators;
 	struct callers callers;
 	struct wv_status status = {WV_OK, ""};
-
-	if (!start_components(daemon, &status)) {
+	bool started;
+
+	callers_server =
+	    start_callers_server(daemon, &callers, listeners->callers, &status);
+	operators_server = start_operators_server(
+	    daemon, &operators, listeners->operators, &status);
+	started = callers_server != NULL && operators_server != NULL;
+	if (started) {
+		g_message("%s started, incarnation %" G_GUINT64_FORMAT,
+		    daemon->self.name.data, daemon->self.incarnation);
+		wait_for_stop(daemon);
+	} else {
 		fprintf(stderr, "%s\n", status.message);
-		return EXIT_FAILURE;
 	}
-	callers_server = start_callers_server(daemon, &callers, &status);
-	operators_server = start_operators_server(daemon, &operators, &status);
-	if (callers_server == NULL || operators_server == NULL) {
-		fprintf(stderr, "%s\n", status.message);
-		return EXIT_FAILURE;
+	if (callers_server != NULL)
+		wv_http_server_stop(callers_server);
+	if (operators_server != NULL)
+		wv_http_server_stop(operators_server);
+	return started ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+/* Runs the daemon until it is stopped; returns the exit code. */
+static int
+serve(struct daemon *daemon)
+{
+	struct start_listeners listeners;
+	struct wv_status status = {WV_OK, ""};
+	int result = EXIT_SUCCESS;
+
+	/* Before it has started, the VM has nothing to hand over. */
+	if (start_open_listeners(daemon->settings, &listeners) == START_DONE &&
+	    !signals_wait_for_stop(0)) {
+		if (!start_components(daemon, listeners.peers, &status)) {
+			fprintf(stderr, "%s\n", status.message);
+			return EXIT_FAILURE;
+		}
+		result = run_servers(daemon, &listeners);
+		stop_components(daemon);
 	}
-	g_message("%s started, incarnation %" G_GUINT64_FORMAT,
-	    daemon->self.name.data, daemon->self.incarnation);
-	wait_for_stop(daemon);
-	wv_http_server_stop(callers_server);
-	wv_http_server_stop(operators_server);
-	stop_components(daemon);
-	g_message("stopped");
-	return EXIT_SUCCESS;
+	if (result == EXIT_SUCCESS)
+		g_message("stopped");
+	return result;
 }
 
 int
--- a/http/server.c
+++ b/http/server.c
@@ -205,8 +205,9 @@
 	if (limit < config->threads)
 		limit = 1024 * config->threads;
 	server->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access,
-	    server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
-	    limit, MHD_OPTION_THREAD_POOL_SIZE,
+	    server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_LISTEN_SOCKET,
+	    config->listener > 0 ? config->listener : MHD_INVALID_SOCKET,
+	    MHD_OPTION_CONNECTION_LIMIT, limit, MHD_OPTION_THREAD_POOL_SIZE,
 	    config->threads > 1 ? config->threads : 0,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)(config->idle_timeout / 1000.0),
--- a/http/server.h
+++ b/http/server.h
@@ -39,6 +39,11 @@
 	uint32_t max_connections;
 	/** Idle time until a connection is closed, ms; 0 to 999: never. */
 	wv_msec idle_timeout;
+	/**
+	 * Socket that listens on the address already and is not blocking; the
+	 * server takes it over. 0 opens one.
+	 */
+	int listener;
 };
 
 struct wv_http_server;
--- a/standin/common/standin.c
+++ b/standin/common/standin.c
@@ -151,7 +151,7 @@
     struct wv_http_handler *handler)
 {
 	struct wv_http_server_config config = {wv_string_borrow(address), 1,
-	    MAX_BODY_BYTES, max_connections, IDLE_TIMEOUT};
+	    MAX_BODY_BYTES, max_connections, IDLE_TIMEOUT, 0};
 	struct wv_http_server *server;
 	struct wv_status status;
 	const char *colon = strrchr(address, ':');
--- a/test/test_daemon_start.c
+++ b/test/test_daemon_start.c
@@ -2,9 +2,11 @@
  * @file
  * Tests of the daemon's start and end: signals that arrive at any moment, from
  * a launcher that neither blocks nor ignores any, must not end the process by
- * their default effect.
+ * their default effect, and what is missing for a moment must not end it at
+ * all.
  */
 #include <sys/prctl.h>
+#include <sys/socket.h>
 
 #include <errno.h>
 #include <fcntl.h>
@@ -17,6 +19,8 @@
 
 #include <glib/gstdio.h>
 
+#include "daemon/pause.h"
+#include "http/address.h"
 #include "standin/common/ports.h"
 
 /** Number of addresses of a daemon that it listens on. */
@@ -25,6 +29,8 @@
 #define N_ADDRESSES 5
 /** Maximum time for an event that must come, ms. */
 #define EVENT_TIMEOUT 20000
+/** How long an obstacle lasts after the start, us. */
+#define OBSTACLE_TIME_US 500000
 /** Starts of the test of a series of signals. */
 #define N_SERIES 12
 /** Most signals in a series, and longest time between two of them, us. */
@@ -336,6 +342,146 @@
 	server_destroy(server);
 }
 
+/* The pauses of a wait double from 20 ms up to 1 s and stay there. */
+static void
+test_pauses(void)
+{
+	static const wv_msec expected[] = {
+	    20, 40, 80, 160, 320, 640, 1000, 1000};
+	struct pause pause = {0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++)
+		g_assert_cmpfloat(pause_next(&pause), ==, expected[i]);
+}
+
+/* Returns a socket that is bound to an address as by another process. */
+static int
+bind_address(const char *text)
+{
+	struct sockaddr_in address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_true(wv_address_parse(wv_string_borrow(text), &address));
+	g_assert_cmpint(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+	return fd;
+}
+
+/* Returns whether an address accepts connections. */
+static bool
+accepts(const char *text)
+{
+	struct sockaddr_in address;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool accepted;
+
+	g_assert_true(wv_address_parse(wv_string_borrow(text), &address));
+	accepted =
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+	close(fd);
+	return accepted;
+}
+
+/* Starts a daemon while one of its ports is in use; returns its holder. */
+static int
+start_without_port(struct server *server, size_t index, bool listens)
+{
+	int holder = bind_address(server->addresses[index]);
+
+	if (listens)
+		g_assert_cmpint(listen(holder, 1), ==, 0);
+	server_spawn(server, NULL);
+	wait_logged(server, "start_waits");
+	wait_logged(server, server->addresses[index]);
+	return holder;
+}
+
+/* Waits until the daemon has started after an obstacle is gone; stops it. */
+static void
+expect_start(struct server *server)
+{
+	wait_logged(server, "start_continues");
+	wait_logged(server, "vm0 started");
+	for (size_t i = 0; i < N_LISTENERS; i++)
+		g_assert_true(accepts(server->addresses[i]));
+	stop_server(server);
+}
+
+/*
+ * A port that is in use for a moment delays the start. A process that ends
+ * instead ends again at each restart, until nobody restarts it any more. While
+ * it waits, no other port accepts connections that nobody would serve.
+ */
+static void
+test_port_in_use(gconstpointer data)
+{
+	size_t index = GPOINTER_TO_SIZE(data);
+	struct server *server = server_create();
+	int holder = start_without_port(server, index, true);
+
+	run_for(server, OBSTACLE_TIME_US);
+	for (size_t i = 0; i < N_LISTENERS; i++)
+		g_assert_true(i == index || !accepts(server->addresses[i]));
+	close(holder);
+	expect_start(server);
+	server_destroy(server);
+}
+
+/* The port may be the source port of a connection of another process. */
+static void
+test_port_bound(void)
+{
+	struct server *server = server_create();
+	int holder = start_without_port(server, 0, false);
+
+	run_for(server, OBSTACLE_TIME_US);
+	close(holder);
+	expect_start(server);
+	server_destroy(server);
+}
+
+/* A stop that is requested while a port is in use is a planned stop. */
+static void
+test_stop_without_port(void)
+{
+	struct server *server = server_create();
+	int holder = start_without_port(server, 1, true);
+
+	stop_server(server);
+	close(holder);
+	server_destroy(server);
+}
+
+/* A SIGHUP while a port is in use is logged; the start waits on. */
+static void
+test_hangup_without_port(void)
+{
+	struct server *server = server_create();
+	int holder = start_without_port(server, 2, true);
+
+	g_subprocess_send_signal(server->process, SIGHUP);
+	wait_logged(server, "SIGHUP");
+	close(holder);
+	expect_start(server);
+	server_destroy(server);
+}
+
+static void
+add_obstacle_tests(void)
+{
+	g_test_add_data_func("/daemon-start/callers-port-in-use",
+	    GSIZE_TO_POINTER(0), test_port_in_use);
+	g_test_add_data_func("/daemon-start/operators-port-in-use",
+	    GSIZE_TO_POINTER(1), test_port_in_use);
+	g_test_add_data_func("/daemon-start/peers-port-in-use",
+	    GSIZE_TO_POINTER(2), test_port_in_use);
+	g_test_add_func("/daemon-start/port-bound", test_port_bound);
+	g_test_add_func(
+	    "/daemon-start/stop-without-port", test_stop_without_port);
+	g_test_add_func(
+	    "/daemon-start/hangup-without-port", test_hangup_without_port);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -354,5 +500,7 @@
 	g_test_add_func(
 	    "/daemon-start/series-during-stop", test_series_during_stop);
 	g_test_add_func("/daemon-start/other-signals", test_other_signals);
+	g_test_add_func("/daemon-start/pauses", test_pauses);
+	add_obstacle_tests();
 	return g_test_run();
 }
