--- a/daemon/main.c
+++ b/daemon/main.c
@@ -217,6 +217,7 @@
 	struct options options = options_parse(
 	    argc, argv, "An entry VM of the wisteriavane query tier.");
 	struct wv_settings *settings;
+	enum start_result started;
 	struct daemon *daemon;
 	int result;
 
@@ -224,9 +225,13 @@
 		return check_settings(options.check);
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	settings = read_settings(options.settings);
-	if (settings == NULL)
+	started = start_read_settings(options.settings, &settings);
+	if (started == START_FAILED)
 		return OPTIONS_EXIT_SETTINGS;
+	if (started == START_STOPPED) {
+		g_message("stopped");
+		return EXIT_SUCCESS;
+	}
 	daemon = g_new0(struct daemon, 1);
 	daemon->settings = settings;
 	system_clock_init(&daemon->clock);
--- a/daemon/start.c
+++ b/daemon/start.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -136,3 +137,50 @@
 	    .peers = fds[0], .operators = fds[1], .callers = fds[2]};
 	return result;
 }
+
+/* The step that reads the settings. */
+struct settings_step {
+	const char *file;
+	struct wv_settings *settings; /* owned; NULL before */
+};
+
+static enum attempt_result
+read_settings(void *data, GString *reason)
+{
+	struct settings_step *step = data;
+	GPtrArray *faults;
+	struct wv_string json = {NULL, 0};
+	enum attempt_result result = ATTEMPT_DONE;
+	GError *error = NULL;
+
+	if (!g_file_get_contents(
+		step->file, &json.data, &json.length, &error)) {
+		g_string_assign(reason, error->message);
+		g_error_free(error);
+		return ATTEMPT_MUST_WAIT;
+	}
+	faults = g_ptr_array_new_with_free_func(g_free);
+	step->settings = wv_settings_parse(json, faults);
+	if (step->settings == NULL && !wv_settings_is_json(json)) {
+		g_string_assign(reason, faults->pdata[0]);
+		result = ATTEMPT_MUST_WAIT;
+	} else if (step->settings == NULL) {
+		for (guint i = 0; i < faults->len; i++)
+			fprintf(stderr, "%s: %s\n", step->file,
+			    (char *)faults->pdata[i]);
+		result = ATTEMPT_FAILED;
+	}
+	g_ptr_array_unref(faults);
+	g_free(json.data);
+	return result;
+}
+
+enum start_result
+start_read_settings(const char *file, struct wv_settings **settings)
+{
+	struct settings_step step = {file, NULL};
+	enum start_result result = repeat_step(read_settings, &step, file);
+
+	*settings = step.settings;
+	return result;
+}
--- a/daemon/start.h
+++ b/daemon/start.h
@@ -24,6 +24,16 @@
 	int peers;
 };
 
+/**
+ * Reads the settings. Waits while the file can't be read or is not JSON, as
+ * when it is still being written. Fails if a setting is wrong, and prints all
+ * faults on standard error.
+ *
+ * @param settings  receives the settings if the result is START_DONE
+ */
+enum start_result start_read_settings(
+    const char *file, struct wv_settings **settings);
+
 /**
  * Opens the listening sockets. Waits while an address can't be used; callers
  * are refused until all can be.
--- a/src/settings.c
+++ b/src/settings.c
@@ -263,6 +263,19 @@
 	check_listeners(settings, faults);
 }
 
+bool
+wv_settings_is_json(struct wv_string json)
+{
+	JsonParser *parser = json_parser_new_immutable();
+	/* json-glib accepts an empty text, which has no root. */
+	bool valid = json_parser_load_from_data(
+			 parser, json.data, (gssize)json.length, NULL) &&
+	    json_parser_get_root(parser) != NULL;
+
+	g_object_unref(parser);
+	return valid;
+}
+
 struct wv_settings *
 wv_settings_parse(struct wv_string json, GPtrArray *faults)
 {
--- a/test/test_daemon_start.c
+++ b/test/test_daemon_start.c
@@ -466,6 +466,68 @@
 	server_destroy(server);
 }
 
+/* Replaces the file of settings; NULL removes it. */
+static void
+set_settings(struct server *server, const char *json)
+{
+	if (json == NULL)
+		g_unlink(server->settings);
+	else
+		g_assert_true(
+		    g_file_set_contents(server->settings, json, -1, NULL));
+}
+
+/* Settings that are not there yet, or not whole, delay the start. */
+static void
+test_settings_late(gconstpointer data)
+{
+	struct server *server = server_create();
+
+	set_settings(server, data);
+	server_spawn(server, NULL);
+	wait_logged(server, "start_waits");
+	wait_logged(server, server->settings);
+	run_for(server, OBSTACLE_TIME_US);
+	set_settings(server, server->json);
+	expect_start(server);
+	server_destroy(server);
+}
+
+/* A stop that is requested while the settings are missing is a planned stop. */
+static void
+test_stop_without_settings(void)
+{
+	struct server *server = server_create();
+
+	set_settings(server, NULL);
+	server_spawn(server, NULL);
+	wait_logged(server, "start_waits");
+	stop_server(server);
+	server_destroy(server);
+}
+
+/*
+ * A wrong setting can't heal: an exit code of its own, and a line that tells.
+ * This holds for a wrong setting that appears during a wait, too.
+ */
+static void
+test_wrong_setting(gconstpointer data)
+{
+	struct server *server = server_create();
+
+	set_settings(server, NULL);
+	if (data == NULL) {
+		server_spawn(server, NULL);
+		wait_logged(server, "start_waits");
+	}
+	set_settings(server, "{\"vm\":\"vm0\",\"zone\":\"z\"}");
+	if (data != NULL)
+		server_spawn(server, NULL);
+	wait_logged(server, "$.callers: is missing");
+	expect_exit(server, 2);
+	server_destroy(server);
+}
+
 static void
 add_obstacle_tests(void)
 {
@@ -480,6 +542,18 @@
 	    "/daemon-start/stop-without-port", test_stop_without_port);
 	g_test_add_func(
 	    "/daemon-start/hangup-without-port", test_hangup_without_port);
+	g_test_add_data_func(
+	    "/daemon-start/settings-missing", NULL, test_settings_late);
+	g_test_add_data_func(
+	    "/daemon-start/settings-empty", "", test_settings_late);
+	g_test_add_data_func("/daemon-start/settings-half",
+	    "{\"vm\":\"vm0\",\"zone\":\"z", test_settings_late);
+	g_test_add_func(
+	    "/daemon-start/stop-without-settings", test_stop_without_settings);
+	g_test_add_data_func(
+	    "/daemon-start/wrong-setting", "at the start", test_wrong_setting);
+	g_test_add_data_func(
+	    "/daemon-start/wrong-setting-later", NULL, test_wrong_setting);
 }
 
 int
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -169,6 +169,27 @@
 	g_ptr_array_unref(faults);
 }
 
+/*
+ * A server waits for settings that are not JSON yet and ends if they are wrong:
+ * every part of valid settings must count as the first, whole ones as JSON.
+ */
+static void
+test_is_json(void)
+{
+	static const char *const whole[] = {
+	    "{" VALID "}", "{" VALID "}\n", "{}", "[]", "1", "{}{}"};
+	char *text = g_strdup(whole[0]);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(whole); i++)
+		g_assert_true(wv_settings_is_json(wv_string_borrow(whole[i])));
+	while (*text != '\0') {
+		text[strlen(text) - 1] = '\0';
+		g_assert_false(wv_settings_is_json(wv_string_borrow(text)));
+	}
+	g_assert_false(wv_settings_is_json(wv_string_borrow(" \n")));
+	g_free(text);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -180,5 +201,6 @@
 	g_test_add_func("/settings/addresses", test_addresses);
 	g_test_add_func("/settings/same-listener", test_same_listener);
 	g_test_add_func("/settings/token", test_token_is_not_quoted);
+	g_test_add_func("/settings/is-json", test_is_json);
 	return g_test_run();
 }
--- a/wisteriavane/settings.h
+++ b/wisteriavane/settings.h
@@ -38,6 +38,12 @@
  */
 struct wv_settings *wv_settings_parse(struct wv_string json, GPtrArray *faults);
 
+/**
+ * Returns whether a text is JSON at all. One that isn't may be a file that is
+ * still being written; one that is stays as it is.
+ */
+bool wv_settings_is_json(struct wv_string json);
+
 /** Releases settings. NULL is allowed. */
 void wv_settings_destroy(struct wv_settings *settings);
 
