Pause accepting links while no descriptor is left

A connection of another VM that could not be accepted for want of descriptors stayed pending, and the links' thread polled for it without a pause: a full core was busy until a descriptor became free.

The links now stop polling their listening socket for 100 ms after such a failure and log the first one. The connection is accepted once there is a descriptor.

--- a/daemon/links.c
+++ b/daemon/links.c
@@ -22,8 +22,15 @@
 #define CONNECT_TIMEOUT_MS 1000.0
 /** Maximum unsent bytes of a link; a link that exceeds them is closed. */
 #define MAX_UNSENT_BYTES (8u << 20)
+/**
+ * Time for which no connection is accepted after one could not be, ms. The
+ * connection stays pending, so that polling for it would keep a core busy.
+ */
+#define ACCEPT_PAUSE_MS 100.0
 /** Size of the receive buffer, bytes. */
 #define READ_BUFFER_SIZE 65536
+/** Size of the buffer for a reason in a log line, bytes with the NUL. */
+#define REASON_SIZE 100
 
 static void
 wake_up(void *owner)
@@ -326,17 +333,62 @@
 		link_close(link);
 }
 
+/* Polls for connections of other VMs. */
+static bool
+poll_listener(struct links *links)
+{
+	apr_pollfd_t poll = {0};
+
+	poll.p = links->pool;
+	poll.desc_type = APR_POLL_SOCKET;
+	poll.reqevents = APR_POLLIN;
+	poll.desc.s = links->listener;
+	return apr_pollset_add(links->pollset, &poll) == APR_SUCCESS;
+}
+
+/* Stops polling for connections for a time, usually for want of descriptors. */
+static void
+pause_accepting(struct links *links, apr_status_t status)
+{
+	apr_pollfd_t poll = {0};
+	char reason[REASON_SIZE];
+
+	if (APR_STATUS_IS_EAGAIN(status) || APR_STATUS_IS_ECONNABORTED(status))
+		return;
+	poll.p = links->pool;
+	poll.desc_type = APR_POLL_SOCKET;
+	poll.desc.s = links->listener;
+	apr_pollset_remove(links->pollset, &poll);
+	if (!links->accept_failed)
+		g_warning("a connection of another VM has to wait: %s",
+		    apr_strerror(status, reason, sizeof(reason)));
+	links->accept_failed = true;
+	links->accept_again = daemon_now(links->daemon) + ACCEPT_PAUSE_MS;
+}
+
+static void
+resume_accepting(struct links *links, wv_msec now)
+{
+	if (links->accept_again > 0 && now >= links->accept_again &&
+	    poll_listener(links))
+		links->accept_again = 0;
+}
+
 static void
 accept_link(struct links *links)
 {
 	apr_socket_t *socket;
+	apr_status_t status;
 	apr_pool_t *pool;
 
 	apr_pool_create(&pool, NULL);
-	if (apr_socket_accept(&socket, links->listener, pool) != APR_SUCCESS) {
+	status = apr_socket_accept(&socket, links->listener, pool);
+	if (status != APR_SUCCESS) {
 		apr_pool_destroy(pool);
+		pause_accepting(links, status);
 		return;
 	}
+	links->accept_failed = false;
 	if (g_hash_table_size(links->by_id) >= MAX_LINKS) {
 		apr_socket_close(socket);
 		apr_pool_destroy(pool);
@@ -399,6 +451,7 @@
 		now = daemon_now(links->daemon);
 		forwards_tick(links, now);
 		close_timed_out(links, now);
+		resume_accepting(links, now);
 	}
 	return NULL;
 }
@@ -407,16 +460,9 @@
 static bool
 add_listener(struct links *links, int listener)
 {
-	apr_pollfd_t poll = {0};
-
-	if (apr_os_sock_put(&links->listener, &listener, links->pool) !=
-	    APR_SUCCESS)
-		return false;
-	poll.p = links->pool;
-	poll.desc_type = APR_POLL_SOCKET;
-	poll.reqevents = APR_POLLIN;
-	poll.desc.s = links->listener;
-	return apr_pollset_add(links->pollset, &poll) == APR_SUCCESS;
+	return apr_os_sock_put(&links->listener, &listener, links->pool) ==
+	    APR_SUCCESS &&
+	    poll_listener(links);
 }
 
 struct links *
--- a/daemon/links_private.h
+++ b/daemon/links_private.h
@@ -34,6 +34,9 @@
 	apr_pool_t *pool;
 	apr_pollset_t *pollset;
 	apr_socket_t *listener;
+	bool accept_failed; /* since the last connection was accepted */
+	wv_msec
+	    accept_again; /* monotonic, ms; 0 while connections are accepted */
 	GThread *thread;
 	atomic_bool stop;
 	struct wv_frame_counters frames;
--- a/test/test_daemon_start.c
+++ b/test/test_daemon_start.c
@@ -6,6 +6,7 @@
  * all.
  */
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <errno.h>
@@ -15,6 +16,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <glib/gstdio.h>
@@ -31,6 +33,10 @@
 #define EVENT_TIMEOUT 20000
 /** How long an obstacle lasts after the start, us. */
 #define OBSTACLE_TIME_US 500000
+/** Descriptors of a daemon that has few. */
+#define FEW_DESCRIPTORS 64
+/** Most processor time of a daemon that has nothing to do, part of a core. */
+#define IDLE_LOAD 0.3
 /** Starts of the test of a series of signals. */
 #define N_SERIES 12
 /** Most signals in a series, and longest time between two of them, us. */
@@ -528,6 +534,86 @@
 	server_destroy(server);
 }
 
+/* Opens connections to an address on which nothing is sent. */
+static void
+open_idle(const char *text, int *fds, size_t n)
+{
+	struct sockaddr_in address;
+
+	g_assert_true(wv_address_parse(wv_string_borrow(text), &address));
+	for (size_t i = 0; i < n; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		g_assert_cmpint(connect(fds[i], (struct sockaddr *)&address,
+				    sizeof(address)),
+		    ==, 0);
+	}
+}
+
+/* Returns the processor time that the daemon has used, s. */
+static double
+processor_time(const struct server *server)
+{
+	const char *id = g_subprocess_get_identifier(server->process);
+	struct timespec used;
+	clockid_t clock;
+
+	g_assert_cmpint(
+	    clock_getcpuclockid((pid_t)g_ascii_strtoll(id, NULL, 10), &clock),
+	    ==, 0);
+	g_assert_cmpint(clock_gettime(clock, &used), ==, 0);
+	return (double)used.tv_sec + (double)used.tv_nsec / 1e9;
+}
+
+/* Sets the number of descriptors that a running daemon may have. */
+static void
+limit_descriptors(const struct server *server, rlim_t n)
+{
+	const char *id = g_subprocess_get_identifier(server->process);
+	pid_t pid = (pid_t)g_ascii_strtoll(id, NULL, 10);
+	struct rlimit limit;
+
+	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, NULL, &limit), ==, 0);
+	limit.rlim_cur = n;
+	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &limit, NULL), ==, 0);
+}
+
+/*
+ * A connection of another VM that can't be accepted must neither keep a core
+ * busy nor be forgotten: it is accepted once there is a descriptor.
+ */
+static void
+test_no_descriptor_left(void)
+{
+	struct server *server = start_server();
+	char bytes[8];
+	double before;
+	int fd;
+
+	limit_descriptors(server, 3);
+	open_idle(server->addresses[2], &fd, 1);
+	run_for(server, OBSTACLE_TIME_US);
+	before = processor_time(server);
+	run_for(server, OBSTACLE_TIME_US);
+	g_assert_cmpfloat(processor_time(server) - before, <,
+	    IDLE_LOAD * OBSTACLE_TIME_US / 1e6);
+	wait_logged(server, "connection of another VM has to wait");
+	limit_descriptors(server, FEW_DESCRIPTORS);
+	/* The link is closed after bytes that are no frame. */
+	memset(bytes, 0xff, sizeof(bytes));
+	g_assert_cmpint(write(fd, bytes, sizeof(bytes)), ==, sizeof(bytes));
+	g_assert_cmpint(read(fd, bytes, sizeof(bytes)), <=, 0);
+	close(fd);
+	stop_server(server);
+	server_destroy(server);
+}
+
+static void
+add_descriptor_tests(void)
+{
+	g_test_add_func(
+	    "/daemon-start/no-descriptor-left", test_no_descriptor_left);
+}
+
 static void
 add_obstacle_tests(void)
 {
@@ -576,5 +662,6 @@
 	g_test_add_func("/daemon-start/other-signals", test_other_signals);
 	g_test_add_func("/daemon-start/pauses", test_pauses);
 	add_obstacle_tests();
+	add_descriptor_tests();
 	return g_test_run();
 }
