Keep a share of the descriptors for each kind of connection

A server accepted connections until accept() failed. The listener's event is level-triggered, so with EMFILE it fired without end: with 64 descriptors and 80 idle connections of callers the process used a whole core and did not answer readiness queries until they closed.

A server at its share closes the connection that has been idle longest for a new one. One with unread bytes is spared, and so is every connection with a request. If none is idle, accepting pauses until a connection closes or becomes idle. If accept() fails for want of a resource, an idle connection yields, else accepting pauses for 100 ms. Connections are counted and idle ones are kept in a queue, so the busy path has no further system call.

The counters connections_yielded and accepts_failed and the log lines connections_crowded and connections_uncrowded record it.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -73,6 +73,12 @@
  */
 void entry_update_limits(struct entry *entry);
 
+/**
+ * Limits the connections of each server by its share of the descriptors that
+ * the process may open, and records shortages.
+ */
+void entry_limit_connections(struct entry *entry);
+
 /** Sets the timer to the next due time of the dispatcher and the registry. */
 void entry_schedule_tick(struct entry *entry);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -317,6 +317,7 @@
 	if (entry->address_server == NULL || entry->readiness_server == NULL ||
 	    entry->metrics_server == NULL || entry->change_server == NULL)
 		return false;
+	entry_limit_connections(entry);
 	entry->store = store_sync_create(entry);
 	entry_update_limits(entry);
 	entry->reports = reports_create(entry);
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -32,6 +32,8 @@
 	X(searchers_resting) /* 503 with Retry-After */      \
 	X(stale_answers) /* to other requests; dropped */    \
 	X(connections_opened) /* to searchers */             \
+	X(connections_yielded) /* idle ones, to new ones */  \
+	X(accepts_failed) /* no descriptor or memory */      \
 	X(store_calls)                                       \
 	X(store_failures)                                    \
 	X(objects_unreadable)                                \
--- a/entry/server.c
+++ b/entry/server.c
@@ -22,6 +22,12 @@
 #define LINGER_TIMEOUT 1000
 /** Connections accepted in one iteration of the event loop. */
 #define MAX_ACCEPTS 64
+/** Pause after accept() failed for want of a resource, ms. */
+#define ACCEPT_PAUSE 100
+/** Time without a shortage of descriptors after which it is over, ms. */
+#define SHORTAGE_END 1000
+/** Idle connections that are examined to find one without unread bytes. */
+#define MAX_YIELD_CHECKS 8
 /** Limits until server_set_limits() is called. */
 static const struct wv_caller_limits default_limits = {.header_bytes = 16384,
     .body_bytes = 262144,
@@ -40,10 +46,20 @@
 	const struct server_ops *ops;
 	void *data;
 	struct event *accept;
+	struct event *resume; /* ends a pause of accepting */
+	struct event *shortage_end; /* checks whether a shortage is over */
 	int fd;
 	struct wv_caller_limits limits;
 	bool draining;
 	struct server_conn *conns;
+	GQueue idle; /* struct server_conn, the longest idle first */
+	size_t n_conns;
+	size_t max_conns;
+	bool accept_paused; /* the listener's event is not pending */
+	bool crowded; /* as last reported */
+	bool shortage_seen; /* since the last check */
+	server_shortage_fn shortage; /* may be NULL */
+	void *shortage_data;
 	size_t n_busy;
 	size_t n_writing;
 };
@@ -52,6 +68,7 @@
 	struct server *server;
 	struct server_conn *next;
 	struct server_conn *previous;
+	GList idle_link; /* in the server's queue of idle connections */
 	int fd;
 	enum conn_state state;
 	struct event *read;
@@ -64,15 +81,42 @@
 	size_t written; /* bytes of it that have been sent */
 	bool close_after; /* close after this answer */
 	bool had_request; /* the request in progress is not the first one */
-	bool timer_is_idle; /* no byte of a request has arrived */
+	bool is_idle; /* no byte of a request has arrived */
 	void *context; /* user pointer of the request in progress */
 };
 
+static void
+set_idle(struct server_conn *conn, bool idle)
+{
+	GQueue *queue = &conn->server->idle;
+
+	if (idle == conn->is_idle)
+		return;
+	conn->is_idle = idle;
+	if (idle)
+		g_queue_push_tail_link(queue, &conn->idle_link);
+	else
+		g_queue_unlink(queue, &conn->idle_link);
+}
+
+/* Accepts again after a pause. */
+static void
+resume_accepting(struct server *server)
+{
+	if (!server->accept_paused || server->accept == NULL)
+		return;
+	server->accept_paused = false;
+	event_del(server->resume);
+	event_add(server->accept, NULL);
+}
+
 static void
 set_state(struct server_conn *conn, enum conn_state state)
 {
 	struct server *server = conn->server;
 
+	if (state != CONN_READING)
+		set_idle(conn, false);
 	server->n_busy -= conn->state == CONN_BUSY;
 	server->n_writing -= conn->state == CONN_WRITING;
 	conn->state = state;
@@ -101,6 +145,8 @@
 	g_string_free(conn->pending, TRUE);
 	g_string_free(conn->out, TRUE);
 	g_free(conn);
+	server->n_conns--;
+	resume_accepting(server);
 }
 
 static void
@@ -137,9 +183,10 @@
 	conn->parser.header_limit = limits->header_bytes;
 	conn->parser.body_limit = limits->body_bytes;
 	message_parser_reset(&conn->parser, false);
-	conn->timer_is_idle = true;
+	set_idle(conn, true);
 	set_timer(conn, limits->idle_timeout);
 	event_add(conn->read, NULL);
+	resume_accepting(conn->server);
 }
 
 static void parse_bytes(
@@ -312,8 +359,8 @@
 		deliver_request(conn);
 		return;
 	}
-	if (conn->timer_is_idle && message_parser_has_started(&conn->parser)) {
-		conn->timer_is_idle = false;
+	if (conn->is_idle && message_parser_has_started(&conn->parser)) {
+		set_idle(conn, false);
 		set_timer(conn, conn->server->limits.header_timeout);
 	}
 	if (!had_headers && conn->parser.headers_done) {
@@ -386,6 +433,7 @@
 	struct server_conn *conn = g_new0(struct server_conn, 1);
 
 	conn->server = server;
+	conn->idle_link.data = conn;
 	conn->fd = fd;
 	conn->read =
 	    event_new(server->base, fd, EV_READ | EV_PERSIST, on_read, conn);
@@ -399,20 +447,166 @@
 	if (conn->next != NULL)
 		conn->next->previous = conn;
 	server->conns = conn;
+	server->n_conns++;
 	wait_for_request(conn);
 }
 
+static void
+report_shortage(struct server *server, enum server_shortage shortage, int error)
+{
+	if (server->shortage != NULL)
+		server->shortage(
+		    server->shortage_data, server, shortage, error);
+}
+
+/* Records a shortage of descriptors, and reports it if it is the first one. */
+static void
+note_shortage(struct server *server, int error)
+{
+	struct timeval time = socket_timeval(SHORTAGE_END);
+
+	server->shortage_seen = true;
+	if (server->crowded)
+		return;
+	server->crowded = true;
+	event_add(server->shortage_end, &time);
+	report_shortage(server, SERVER_CROWDED, error);
+}
+
+static void
+on_shortage_end(evutil_socket_t fd, short what, void *data)
+{
+	struct timeval time = socket_timeval(SHORTAGE_END);
+	struct server *server = data;
+
+	(void)fd;
+	(void)what;
+	if (server->shortage_seen || server->accept_paused) {
+		server->shortage_seen = false;
+		event_add(server->shortage_end, &time);
+		return;
+	}
+	server->crowded = false;
+	report_shortage(server, SERVER_UNCROWDED, 0);
+}
+
+static void
+on_resume(evutil_socket_t fd, short what, void *data)
+{
+	(void)fd;
+	(void)what;
+	resume_accepting(data);
+}
+
+/*
+ * Stops accepting until a connection closes or becomes idle.
+ *
+ * time: longest duration, ms; 0: not limited
+ */
+static void
+pause_accepting(struct server *server, wv_msec time)
+{
+	struct timeval limit = socket_timeval(time);
+
+	event_del(server->accept);
+	server->accept_paused = true;
+	if (time > 0)
+		event_add(server->resume, &limit);
+}
+
+static bool
+has_unread_bytes(const struct server_conn *conn)
+{
+	char byte;
+
+	return recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Closes the connection that has been idle longest. One with unread bytes is
+ * spared: they begin a request, which the close would reset. Returns whether a
+ * connection was closed.
+ */
+static bool
+yield_idle(struct server *server)
+{
+	GList *link = server->idle.head;
+
+	for (int i = 0; i < MAX_YIELD_CHECKS && link != NULL; i++) {
+		struct server_conn *conn = link->data;
+
+		link = link->next;
+		if (has_unread_bytes(conn))
+			continue;
+		conn->is_idle = false;
+		g_queue_unlink(&server->idle, &conn->idle_link);
+		conn_close(conn);
+		note_shortage(server, 0);
+		report_shortage(server, SERVER_YIELDED, 0);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Returns whether a connection may be accepted: one more than the share is, if
+ * an idle one can be closed for it then.
+ */
+static bool
+has_room(const struct server *server)
+{
+	return server->n_conns < server->max_conns ||
+	    (server->n_conns == server->max_conns && server->idle.head != NULL);
+}
+
+static bool
+is_shortage(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	    error == ENOMEM;
+}
+
+/*
+ * Accepts a connection; returns -1 if there is none. If a resource is
+ * exhausted, an idle connection yields. The listener's event would fire without
+ * end if nothing yields, so accepting pauses then.
+ */
+static int
+accept_conn(struct server *server)
+{
+	int fd = accept(server->fd, NULL, NULL);
+
+	if (fd >= 0 || !is_shortage(errno))
+		return fd;
+	note_shortage(server, errno);
+	report_shortage(server, SERVER_ACCEPT_FAILED, errno);
+	if (yield_idle(server))
+		fd = accept(server->fd, NULL, NULL);
+	if (fd < 0 && is_shortage(errno))
+		pause_accepting(server, ACCEPT_PAUSE);
+	return fd;
+}
+
 static void
 on_accept(evutil_socket_t listener, short what, void *data)
 {
 	struct server *server = data;
 
+	(void)listener;
 	(void)what;
 	for (int i = 0; i < MAX_ACCEPTS; i++) {
-		int fd = accept(listener, NULL, NULL);
+		int fd;
 
+		if (!has_room(server)) {
+			note_shortage(server, 0);
+			pause_accepting(server, 0);
+			return;
+		}
+		fd = accept_conn(server);
 		if (fd < 0)
 			return;
+		if (server->n_conns >= server->max_conns)
+			yield_idle(server);
 		evutil_make_socket_nonblocking(fd);
 		evutil_make_socket_closeonexec(fd);
 		socket_set_no_delay(fd);
@@ -431,6 +625,9 @@
 	server->data = data;
 	server->fd = -1;
 	server->limits = default_limits;
+	server->max_conns = SIZE_MAX;
+	server->resume = event_new(base, -1, 0, on_resume, server);
+	server->shortage_end = event_new(base, -1, 0, on_shortage_end, server);
 	return server;
 }
 
@@ -452,6 +649,14 @@
 	return server->accept != NULL;
 }
 
+static void
+server_release(struct server *server)
+{
+	event_free(server->resume);
+	event_free(server->shortage_end);
+	g_free(server);
+}
+
 struct server *
 server_create(struct event_base *base, const char *address,
     const struct server_ops *ops, void *data)
@@ -460,7 +665,7 @@
 
 	if (server_listen(server, address))
 		return server;
-	g_free(server);
+	server_release(server);
 	return NULL;
 }
 
@@ -470,7 +675,9 @@
 	if (server->accept == NULL)
 		return;
 	event_free(server->accept);
+	event_del(server->resume);
 	server->accept = NULL;
+	server->accept_paused = false;
 	close(server->fd);
 }
 
@@ -486,7 +693,7 @@
 		conn_close(conn);
 		conn = next;
 	}
-	g_free(server);
+	server_release(server);
 }
 
 void
@@ -495,6 +702,16 @@
 	server->limits = *limits;
 }
 
+void
+server_set_max_conns(struct server *server, size_t max_conns,
+    server_shortage_fn shortage, void *data)
+{
+	server->max_conns = max_conns;
+	server->shortage = shortage;
+	server->shortage_data = data;
+	resume_accepting(server);
+}
+
 void
 server_drain(struct server *server)
 {
--- a/entry/server.h
+++ b/entry/server.h
@@ -40,6 +40,23 @@
 	void (*rejected)(void *data, unsigned status);
 };
 
+/** What a server does because it has no descriptor for a connection. */
+enum server_shortage {
+	SERVER_YIELDED, /**< an idle connection was closed for a new one */
+	SERVER_ACCEPT_FAILED, /**< accept() failed for want of a resource */
+	SERVER_CROWDED, /**< the first of these, or the server does not accept
+			 because no connection is idle */
+	SERVER_UNCROWDED /**< none of this for a second */
+};
+
+/**
+ * Receives what happens for want of descriptors.
+ *
+ * @param error  errno value of accept(), or 0
+ */
+typedef void (*server_shortage_fn)(void *data, const struct server *server,
+    enum server_shortage shortage, int error);
+
 /**
  * Creates a server and listens.
  *
@@ -81,6 +98,17 @@
 void server_set_limits(
     struct server *server, const struct wv_caller_limits *limits);
 
+/**
+ * Sets how many connections the server keeps. When there are as many, the
+ * connection that has been idle longest is closed for a new one; while none is
+ * idle, new ones wait in the kernel's queue. Requests in progress are not cut.
+ *
+ * @param shortage  may be NULL
+ * @param data      passed to the callback
+ */
+void server_set_max_conns(struct server *server, size_t max_conns,
+    server_shortage_fn shortage, void *data);
+
 /** Closes each connection after its next answer, with "Connection: close". */
 void server_drain(struct server *server);
 
--- /dev/null
+++ b/test/test_entry_limits.c
@@ -0,0 +1,293 @@
+/**
+ * @file
+ * Tests of entry servers that reach the limits of their process: descriptors
+ * and memory. A flood of one kind of connection must not keep the processor
+ * busy, end the process, cut requests in progress, or stop other kinds.
+ */
+#include <errno.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry/shares.h"
+#include "test/entry_fixture.h"
+
+/** Descriptors of a VM in these tests, and connections that exceed them. */
+#define DESCRIPTORS 64
+#define N_FLOOD 80
+/** Time over which the processor time of a VM is measured, ms. */
+#define MEASURED_TIME 1000
+/** Largest processor time within it, ms; a busy loop takes all of it. */
+#define MAX_PROCESSOR_TIME 300
+/** Longest time until a shortage is reported as ended, ms. */
+#define SHORTAGE_TIME 5000
+/** Descriptors of a process whose limit is lowered below what it has open. */
+#define LOWERED_DESCRIPTORS 8
+
+/* Each share is at least one and all together fit into the limit. */
+static void
+test_shares(void)
+{
+	struct shares platform = shares_divide(4100);
+	struct shares unlimited = shares_divide((size_t)-1);
+
+	for (size_t limit = 0; limit < 8192; limit++) {
+		struct shares shares = shares_divide(limit);
+		size_t sum = shares.callers + shares.addresses +
+		    shares.readiness + shares.metrics + shares.changes +
+		    shares.outgoing;
+
+		g_assert_cmpuint(shares.callers, >=, 1);
+		g_assert_cmpuint(shares.addresses, >=, 1);
+		g_assert_cmpuint(shares.readiness, >=, 1);
+		g_assert_cmpuint(shares.metrics, >=, 1);
+		g_assert_cmpuint(shares.changes, >=, 1);
+		g_assert_cmpuint(shares.outgoing, >=, 1);
+		if (limit >= DESCRIPTORS)
+			g_assert_cmpuint(sum, <, limit);
+	}
+	/* Two connections of each of 300 other VMs. */
+	g_assert_cmpuint(platform.changes, >=, 600);
+	g_assert_cmpuint(platform.callers, >=, 1500);
+	g_assert_cmpuint(platform.outgoing, >=, 500);
+	g_assert_cmpuint(unlimited.callers, ==, platform.callers);
+}
+
+/* Runs in the child before it becomes a VM with few descriptors. */
+static void
+limit_descriptors(void *data)
+{
+	struct rlimit limit = {DESCRIPTORS, DESCRIPTORS};
+
+	prepare_child(data);
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+/* Starts a store and a VM with few descriptors that can serve. */
+static struct fixture *
+create_limited(double work)
+{
+	struct fixture *fixture = fixture_create(work);
+
+	open_store(fixture);
+	prepare_vm(fixture, 0);
+	spawn_vm_with(fixture, 0, limit_descriptors, NULL);
+	g_assert_true(
+	    wait_logged(fixture, &fixture->vms[0], "\"store_watching\""));
+	return fixture;
+}
+
+/* Returns the address of VM 0's readiness; the caller owns it. */
+static char *
+readiness_address(const struct fixture *fixture)
+{
+	return g_strdup_printf(
+	    "127.0.0.1:%u", fixture->ports[1 + N_SERVICES * N_REPLICAS + 2]);
+}
+
+/* Returns the status of a readiness query over a new connection. */
+static unsigned
+ask_readiness(struct fixture *fixture)
+{
+	char *address = readiness_address(fixture);
+	GString *body = g_string_new(NULL);
+	unsigned status = exchange_bytes(fixture, address,
+	    "GET /readiness HTTP/1.1\r\nHost: a\r\n\r\n", body);
+
+	g_string_free(body, TRUE);
+	g_free(address);
+	return status;
+}
+
+/* Returns the status of an order over a new connection. */
+static unsigned
+send_order(struct fixture *fixture, const char *id)
+{
+	char *order = compose_order(id);
+	GString *body = g_string_new(NULL);
+	unsigned status =
+	    exchange_bytes(fixture, fixture->vms[0].callers, order, body);
+
+	g_string_free(body, TRUE);
+	g_free(order);
+	return status;
+}
+
+/* Returns the processor time that a VM has used, ms. */
+static double
+processor_time(const struct vm *vm)
+{
+	char *path = g_strdup_printf(
+	    "/proc/%s/stat", g_subprocess_get_identifier(vm->process));
+	char *content = NULL;
+	char **fields;
+	double ticks;
+
+	g_assert_true(g_file_get_contents(path, &content, NULL, NULL));
+	/* The fields after the name begin with the third; 14 and 15 follow. */
+	fields = g_strsplit(strrchr(content, ')') + 2, " ", 14);
+	ticks = (double)(strtoul(fields[11], NULL, 10) +
+	    strtoul(fields[12], NULL, 10));
+	g_strfreev(fields);
+	g_free(content);
+	g_free(path);
+	return ticks * 1000 / (double)sysconf(_SC_CLK_TCK);
+}
+
+/* Asserts that a VM hands back the processor while nothing is asked of it. */
+static void
+check_not_busy(struct fixture *fixture)
+{
+	double before = processor_time(&fixture->vms[0]);
+
+	run_for(fixture, MEASURED_TIME);
+	g_assert_cmpfloat(
+	    processor_time(&fixture->vms[0]) - before, <, MAX_PROCESSOR_TIME);
+}
+
+/* Opens connections, each after a moment, and sends the same bytes on each. */
+static void
+open_flood(struct fixture *fixture, int fds[N_FLOOD], const char *bytes)
+{
+	for (int i = 0; i < N_FLOOD; i++) {
+		fds[i] = socket_connect(fixture->vms[0].callers);
+		g_assert_cmpint(fds[i], >=, 0);
+		run_for(fixture, 2);
+		if (bytes[0] != '\0')
+			send(fds[i], bytes, strlen(bytes), MSG_NOSIGNAL);
+	}
+	run_for(fixture, CHECK_INTERVAL);
+}
+
+static void
+close_flood(int fds[N_FLOOD])
+{
+	for (int i = 0; i < N_FLOOD; i++)
+		close(fds[i]);
+}
+
+/* Returns whether the other side has closed a connection. */
+static bool
+is_closed(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+}
+
+/*
+ * More idle connections than descriptors: the process must not spin on
+ * accept(), the oldest ones yield, and callers and probes are answered.
+ */
+static void
+test_idle_callers(void)
+{
+	struct fixture *fixture = create_limited(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	int fds[N_FLOOD];
+
+	open_flood(fixture, fds, "");
+	check_not_busy(fixture);
+	g_assert_true(is_closed(fds[0]));
+	g_assert_false(is_closed(fds[N_FLOOD - 1]));
+	g_assert_cmpuint(ask_readiness(fixture), ==, 200);
+	g_assert_cmpuint(send_order(fixture, "order-1"), ==, 200);
+	g_assert_true(has_logged(vm, "\"connections_crowded\""));
+	close_flood(fds);
+	g_assert_true(wait_logged_within(
+	    fixture, vm, "\"connections_uncrowded\"", SHORTAGE_TIME));
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
+/*
+ * More connections with half a request than descriptors: none is idle, so new
+ * ones wait. The process must not spin, and other servers answer.
+ */
+static void
+test_half_requests(void)
+{
+	struct fixture *fixture = create_limited(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	int fds[N_FLOOD];
+
+	open_flood(fixture, fds, "GET / HTTP/1.1\r\nHost");
+	check_not_busy(fixture);
+	g_assert_false(is_closed(fds[0]));
+	g_assert_cmpuint(ask_readiness(fixture), ==, 200);
+	g_assert_true(has_logged(vm, "\"connections_crowded\""));
+	close_flood(fds);
+	g_assert_cmpuint(send_order(fixture, "order-1"), ==, 200);
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
+/* A request in progress is served although idle connections need descriptors.
+ */
+static void
+test_request_in_progress(void)
+{
+	struct fixture *fixture = create_limited(LONG_WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	char *order = compose_order("order-1");
+	GString *body = g_string_new(NULL);
+	struct exchange exchange = {fixture->base, 0, body};
+	struct client *client =
+	    client_create(fixture->base, vm->callers, &ops, &exchange);
+	int fds[N_FLOOD];
+
+	client_send(client, wv_string_borrow(order), false);
+	run_for(fixture, CHECK_INTERVAL);
+	open_flood(fixture, fds, "");
+	g_assert_true(has_logged(vm, "\"connections_crowded\"") ||
+	    wait_logged(fixture, vm, "\"connections_crowded\""));
+	run_for(fixture, MAX_ANSWER_TIME);
+	g_assert_cmpuint(exchange.status, ==, 200);
+	client_destroy(client);
+	close_flood(fds);
+	stop_vm(fixture, vm);
+	g_string_free(body, TRUE);
+	g_free(order);
+	fixture_destroy(fixture);
+}
+
+/*
+ * accept() fails although the share is not used up, because the limit was
+ * lowered: the process must not spin, and serves when it can again.
+ */
+static void
+test_accept_fails(void)
+{
+	struct fixture *fixture = create_limited(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	pid_t pid = (pid_t)atoi(g_subprocess_get_identifier(vm->process));
+	struct rlimit lowered = {LOWERED_DESCRIPTORS, DESCRIPTORS};
+	struct rlimit limit = {DESCRIPTORS, DESCRIPTORS};
+	int fds[N_FLOOD];
+
+	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &lowered, NULL), ==, 0);
+	open_flood(fixture, fds, "");
+	check_not_busy(fixture);
+	g_assert_true(has_logged(vm, "Too many open files"));
+	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &limit, NULL), ==, 0);
+	g_assert_cmpuint(send_order(fixture, "order-1"), ==, 200);
+	close_flood(fds);
+	g_assert_true(wait_logged_within(
+	    fixture, vm, "\"connections_uncrowded\"", SHORTAGE_TIME));
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	g_test_add_func("/entry-limits/shares", test_shares);
+	g_test_add_func("/entry-limits/idle-callers", test_idle_callers);
+	g_test_add_func("/entry-limits/half-requests", test_half_requests);
+	g_test_add_func(
+	    "/entry-limits/request-in-progress", test_request_in_progress);
+	g_test_add_func("/entry-limits/accept-fails", test_accept_fails);
+	return g_test_run();
+}
