Test requests for which no connection to a searcher can be opened

An order over an established connection, without a descriptor for a connection to a searcher, is answered 503 within 500 ms, as it has not run; the process does not spin on attempts, and serves orders again within 3 s once it has descriptors.

--- a/test/test_entry_limits.c
+++ b/test/test_entry_limits.c
@@ -23,6 +23,10 @@
 #define SHORTAGE_TIME 5000
 /** Descriptors of a process whose limit is lowered below what it has open. */
 #define LOWERED_DESCRIPTORS 8
+/** Longest time until a request that can't run is refused, ms. */
+#define MAX_REFUSAL_TIME 500
+/** Longest time until requests are served after a shortage, ms. */
+#define MAX_RECOVERY_TIME 3000
 
 /* Each share is at least one and all together fit into the limit. */
 static void
@@ -63,6 +67,16 @@
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+/* Changes the limit on the descriptors of a VM that runs. */
+static void
+set_limit(const struct vm *vm, rlim_t descriptors)
+{
+	struct rlimit limit = {descriptors, DESCRIPTORS};
+	pid_t pid = (pid_t)atoi(g_subprocess_get_identifier(vm->process));
+
+	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &limit, NULL), ==, 0);
+}
+
 /* Starts a store and a VM with few descriptors that can serve. */
 static struct fixture *
 create_limited(double work)
@@ -113,6 +127,22 @@
 	return status;
 }
 
+/* Waits until a VM serves an order. */
+static bool
+wait_served(struct fixture *fixture)
+{
+	for (int i = 0; i < MAX_RECOVERY_TIME / CHECK_INTERVAL; i++) {
+		char *id = g_strdup_printf("again-%d", i);
+		bool served = send_order(fixture, id) == 200;
+
+		g_free(id);
+		if (served)
+			return true;
+		run_for(fixture, CHECK_INTERVAL);
+	}
+	return false;
+}
+
 /* Returns the processor time that a VM has used, ms. */
 static double
 processor_time(const struct vm *vm)
@@ -260,16 +290,13 @@
 {
 	struct fixture *fixture = create_limited(WORK_TIME);
 	struct vm *vm = &fixture->vms[0];
-	pid_t pid = (pid_t)atoi(g_subprocess_get_identifier(vm->process));
-	struct rlimit lowered = {LOWERED_DESCRIPTORS, DESCRIPTORS};
-	struct rlimit limit = {DESCRIPTORS, DESCRIPTORS};
 	int fds[N_FLOOD];
 
-	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &lowered, NULL), ==, 0);
+	set_limit(vm, LOWERED_DESCRIPTORS);
 	open_flood(fixture, fds, "");
 	check_not_busy(fixture);
 	g_assert_true(has_logged(vm, "Too many open files"));
-	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &limit, NULL), ==, 0);
+	set_limit(vm, DESCRIPTORS);
 	g_assert_cmpuint(send_order(fixture, "order-1"), ==, 200);
 	close_flood(fds);
 	g_assert_true(wait_logged_within(
@@ -278,6 +305,42 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * No descriptor for a connection to a searcher: an order over an established
+ * connection is answered at once as not run, the process does not spin on
+ * attempts, and serves when it can again.
+ */
+static void
+test_no_outgoing(void)
+{
+	struct fixture *fixture = create_limited(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	char *order = compose_order("order-1");
+	GString *body = g_string_new(NULL);
+	struct exchange exchange = {fixture->base, 0, body};
+	struct client *client =
+	    client_create(fixture->base, vm->callers, &ops, &exchange);
+	gint64 start;
+
+	run_for(fixture, CHECK_INTERVAL);
+	set_limit(vm, LOWERED_DESCRIPTORS);
+	start = g_get_monotonic_time();
+	client_send(client, wv_string_borrow(order), false);
+	run_for(fixture, MAX_ANSWER_TIME);
+	g_assert_cmpuint(exchange.status, ==, 503);
+	g_assert_cmpint(
+	    g_get_monotonic_time() - start, <, MAX_REFUSAL_TIME * 1000);
+	g_assert_true(wait_logged(fixture, vm, "\"end\":\"not_sent\""));
+	check_not_busy(fixture);
+	set_limit(vm, DESCRIPTORS);
+	g_assert_true(wait_served(fixture));
+	client_destroy(client);
+	stop_vm(fixture, vm);
+	g_string_free(body, TRUE);
+	g_free(order);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -289,5 +352,6 @@
 	g_test_add_func(
 	    "/entry-limits/request-in-progress", test_request_in_progress);
 	g_test_add_func("/entry-limits/accept-fails", test_accept_fails);
+	g_test_add_func("/entry-limits/no-outgoing", test_no_outgoing);
 	return g_test_run();
 }
