--- a/entry/main.c
+++ b/entry/main.c
@@ -204,6 +204,7 @@
 	    wv_string_borrow(settings->zone), settings->capacity);
 	entry->gateway = gateway_create(entry);
 	pages_create(entry);
+	entry_limit_connections(entry);
 	entry->store = store_sync_create(entry);
 	entry_update_limits(entry);
 	entry->reports = reports_create(entry);
