Divide the daemon's descriptors among its ports

With few descriptors, idle connections to one port took all of them: callers and operators got no answer, the VM could connect to nobody, and the HTTP library polled without a pause for connections that it could not accept.

The daemon raises its limit to the hard limit and gives each port a share of the descriptors that its threads leave (daemon/descriptors.h). Only links that other VMs opened count for the share of peers.

--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -10,6 +10,7 @@
 
 #include <stdatomic.h>
 
+#include "daemon/descriptors.h"
 #include "daemon/request.h"
 #include "daemon/routing.h"
 #include "daemon/stats.h"
@@ -22,6 +23,7 @@
 struct daemon {
 	struct wv_clock clock;
 	struct wv_settings *settings;
+	struct descriptor_shares shares;
 	struct wv_vm_id self;
 	struct stats stats; /**< any thread adds */
 	struct wv_contract_table *contracts; /**< control thread writes */
--- a/daemon/links.c
+++ b/daemon/links.c
@@ -389,7 +389,11 @@
 		return;
 	}
 	links->accept_failed = false;
-	if (g_hash_table_size(links->by_id) >= MAX_LINKS) {
+	/* Links by address are those that this VM opened. */
+	if (g_hash_table_size(links->by_id) >= MAX_LINKS ||
+	    g_hash_table_size(links->by_id) -
+		    g_hash_table_size(links->by_address) >=
+		links->daemon->shares.peers) {
 		apr_socket_close(socket);
 		apr_pool_destroy(pool);
 		return;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -128,6 +128,7 @@
 	config.address = daemon->settings->callers;
 	config.listener = listener;
 	config.threads = daemon->settings->callers_threads;
+	config.max_connections = (uint32_t)daemon->shares.callers;
 	config.max_body = daemon->settings->max_body;
 	config.idle_timeout = daemon->settings->idle_timeout;
 	return wv_http_server_start(&config, &callers->handler, status);
@@ -143,6 +144,7 @@
 	config.address = daemon->settings->operators;
 	config.listener = listener;
 	config.threads = 1;
+	config.max_connections = (uint32_t)daemon->shares.operators;
 	config.max_body = MAX_OPERATOR_BODY;
 	config.idle_timeout = daemon->settings->idle_timeout;
 	return wv_http_server_start(&config, &operators->handler, status);
@@ -234,6 +236,8 @@
 	}
 	daemon = g_new0(struct daemon, 1);
 	daemon->settings = settings;
+	daemon->shares =
+	    descriptors_divide(settings, descriptors_raise_limit());
 	system_clock_init(&daemon->clock);
 	stats_init(&daemon->stats);
 	daemon->self.name = daemon->settings->vm;
--- a/test/test_daemon_start.c
+++ b/test/test_daemon_start.c
@@ -24,6 +24,7 @@
 #include "daemon/pause.h"
 #include "http/address.h"
 #include "standin/common/ports.h"
+#include "test/cluster/cluster.h"
 
 /** Number of addresses of a daemon that it listens on. */
 #define N_LISTENERS 3
@@ -33,8 +34,9 @@
 #define EVENT_TIMEOUT 20000
 /** How long an obstacle lasts after the start, us. */
 #define OBSTACLE_TIME_US 500000
-/** Descriptors of a daemon that has few. */
+/** Descriptors of a daemon that has few, and connections that exceed them. */
 #define FEW_DESCRIPTORS 64
+#define N_IDLE 80
 /** Most processor time of a daemon that has nothing to do, part of a core. */
 #define IDLE_LOAD 0.3
 /** Starts of the test of a series of signals. */
@@ -49,6 +51,7 @@
 	char *settings; /* path of the file */
 	char *json; /* content of the file */
 	char *addresses[N_ADDRESSES];
+	rlim_t descriptors; /* limit of the process; 0: as the test has */
 	GSubprocess *process;
 	GString *log; /* what was read from the pipe */
 	int log_end; /* of the pipe; -1 after its end was read */
@@ -81,12 +84,19 @@
 	return server;
 }
 
-/* Kills the child when the test ends, so that an aborted test leaves none. */
+/*
+ * Kills the child when the test ends, so that an aborted test leaves none, and
+ * limits its descriptors.
+ */
 static void
 prepare_child(void *data)
 {
-	(void)data;
+	const struct server *server = data;
+	struct rlimit limit = {server->descriptors, server->descriptors};
+
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (server->descriptors > 0)
+		setrlimit(RLIMIT_NOFILE, &limit);
 }
 
 /*
@@ -109,7 +119,7 @@
 		    launcher, "LD_DEBUG", ld_debug, TRUE);
 	g_subprocess_launcher_take_stderr_fd(launcher, ends[1]);
 	g_subprocess_launcher_set_child_setup(
-	    launcher, prepare_child, NULL, NULL);
+	    launcher, prepare_child, server, NULL);
 	server->process = g_subprocess_launcher_spawn(launcher, &error,
 	    WV_BUILD_DIR "/wisteriavaned", "--settings", server->settings,
 	    NULL);
@@ -549,6 +559,13 @@
 	}
 }
 
+static void
+close_all(const int *fds, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		close(fds[i]);
+}
+
 /* Returns the processor time that the daemon has used, s. */
 static double
 processor_time(const struct server *server)
@@ -564,6 +581,69 @@
 	return (double)used.tv_sec + (double)used.tv_nsec / 1e9;
 }
 
+static struct server *
+start_with_few_descriptors(void)
+{
+	struct server *server = server_create();
+
+	server->descriptors = FEW_DESCRIPTORS;
+	server_spawn(server, NULL);
+	wait_logged(server, "vm0 started");
+	return server;
+}
+
+/*
+ * Connections that can't be accepted for want of descriptors must not keep a
+ * core busy.
+ */
+static void
+test_idle_load(void)
+{
+	struct server *server = start_with_few_descriptors();
+	int fds[3 * N_IDLE];
+	double before;
+
+	for (size_t i = 0; i < N_LISTENERS; i++)
+		open_idle(server->addresses[i], fds + i * N_IDLE, N_IDLE);
+	run_for(server, OBSTACLE_TIME_US);
+	before = processor_time(server);
+	run_for(server, OBSTACLE_TIME_US);
+	g_assert_cmpfloat(processor_time(server) - before, <,
+	    IDLE_LOAD * OBSTACLE_TIME_US / 1e6);
+	close_all(fds, G_N_ELEMENTS(fds));
+	stop_server(server);
+	server_destroy(server);
+}
+
+/*
+ * Idle connections to one port must not take the descriptors from the other
+ * ports: callers and operators would get no answer.
+ */
+static void
+test_idle_connections(gconstpointer data)
+{
+	size_t index = GPOINTER_TO_SIZE(data);
+	struct server *server = start_with_few_descriptors();
+	int fds[N_IDLE];
+
+	open_idle(server->addresses[index], fds, N_IDLE);
+	run_for(server, OBSTACLE_TIME_US);
+	/* Ports 0 and 1 are those of callers and operators. */
+	for (size_t i = 0; i < 2; i++) {
+		struct cluster_answer answer = {0};
+
+		if (i != index)
+			answer = cluster_call(server->addresses[i], "GET",
+			    i == 0 ? "/v1/addresses?customer=c" : "/v1/state",
+			    NULL, "test-operator-token");
+		g_assert_true(i == index || answer.http_status == 200);
+		cluster_answer_clear(&answer);
+	}
+	close_all(fds, N_IDLE);
+	stop_server(server);
+	server_destroy(server);
+}
+
 /* Sets the number of descriptors that a running daemon may have. */
 static void
 limit_descriptors(const struct server *server, rlim_t n)
@@ -612,6 +692,13 @@
 {
 	g_test_add_func(
 	    "/daemon-start/no-descriptor-left", test_no_descriptor_left);
+	g_test_add_func("/daemon-start/idle-load", test_idle_load);
+	g_test_add_data_func("/daemon-start/idle-callers", GSIZE_TO_POINTER(0),
+	    test_idle_connections);
+	g_test_add_data_func("/daemon-start/idle-operators",
+	    GSIZE_TO_POINTER(1), test_idle_connections);
+	g_test_add_data_func("/daemon-start/idle-peers", GSIZE_TO_POINTER(2),
+	    test_idle_connections);
 }
 
 static void
