Keep an unread log from blocking the daemon

Log lines go to standard error. When that is a pipe that is full because nobody reads it, the thread that logs waited for the reader: the main thread at its first line, after which SIGTERM was never taken, and the control thread at a change of a lease.

The daemon's log writer drops lines that find no space and puts their number before the next line that it writes. The tests of signals give the pipe more space once the loader may go on, so that no line that they wait for is dropped.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -12,6 +12,7 @@
 #include "daemon/callers.h"
 #include "daemon/control.h"
 #include "daemon/links.h"
+#include "daemon/log.h"
 #include "daemon/operators.h"
 #include "daemon/options.h"
 #include "daemon/signals.h"
@@ -225,6 +226,7 @@
 
 	if (options.check != NULL)
 		return check_settings(options.check);
+	log_init();
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	started = start_read_settings(options.settings, &settings);
--- a/test/test_daemon_start.c
+++ b/test/test_daemon_start.c
@@ -30,6 +30,12 @@
 #define N_LISTENERS 3
 /** Number of addresses in the settings; nothing listens on the others. */
 #define N_ADDRESSES 5
+/**
+ * Sizes of the pipe that takes the log, bytes: of a loader that is to wait for
+ * space, and otherwise. The daemon drops lines that find no space.
+ */
+#define LOADER_PIPE_SIZE PIPE_BUF
+#define LOG_PIPE_SIZE (1 << 20)
 /** Maximum time for an event that must come, ms. */
 #define EVENT_TIMEOUT 20000
 /** How long an obstacle lasts after the start, us. */
@@ -51,6 +57,7 @@
 	char *settings; /* path of the file */
 	char *json; /* content of the file */
 	char *addresses[N_ADDRESSES];
+	bool full_log; /* the pipe is full from the start */
 	rlim_t descriptors; /* limit of the process; 0: as the test has */
 	GSubprocess *process;
 	GString *log; /* what was read from the pipe */
@@ -109,11 +116,16 @@
 {
 	GSubprocessLauncher *launcher =
 	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	static const char filler[LOG_PIPE_SIZE];
 	GError *error = NULL;
 	int ends[2];
 
 	g_assert_cmpint(pipe2(ends, O_CLOEXEC), ==, 0);
-	fcntl(ends[1], F_SETPIPE_SZ, PIPE_BUF);
+	fcntl(ends[1], F_SETPIPE_SZ,
+	    ld_debug != NULL ? LOADER_PIPE_SIZE : LOG_PIPE_SIZE);
+	if (server->full_log)
+		g_assert_cmpint(
+		    write(ends[1], filler, sizeof(filler)), ==, LOG_PIPE_SIZE);
 	if (ld_debug != NULL)
 		g_subprocess_launcher_setenv(
 		    launcher, "LD_DEBUG", ld_debug, TRUE);
@@ -222,7 +234,7 @@
 /*
  * Starts the daemon and waits until its loader has opened a library that it
  * needs. The loader then waits for space in the pipe, so the start goes no
- * further before the log is read on.
+ * further before finish_loading().
  */
 static struct server *
 start_loading(void)
@@ -234,6 +246,13 @@
 	return server;
 }
 
+/* Lets the loader continue. */
+static void
+finish_loading(const struct server *server)
+{
+	fcntl(server->log_end, F_SETPIPE_SZ, LOG_PIPE_SIZE);
+}
+
 static struct server *
 start_server(void)
 {
@@ -254,6 +273,7 @@
 	struct server *server = start_loading();
 
 	g_subprocess_send_signal(server->process, SIGHUP);
+	finish_loading(server);
 	wait_logged(server, "vm0 started");
 	wait_logged(server, "SIGHUP");
 	stop_server(server);
@@ -278,6 +298,7 @@
 	struct server *server = start_loading();
 
 	g_subprocess_send_signal(server->process, GPOINTER_TO_INT(data));
+	finish_loading(server);
 	expect_planned_stop(server);
 	server_destroy(server);
 }
@@ -289,6 +310,7 @@
 
 	g_subprocess_send_signal(server->process, SIGHUP);
 	g_subprocess_send_signal(server->process, SIGTERM);
+	finish_loading(server);
 	expect_planned_stop(server);
 	server_destroy(server);
 }
@@ -319,6 +341,7 @@
 	for (int i = 0; i < N_SERIES; i++) {
 		struct server *server = start_loading();
 
+		finish_loading(server);
 		send_series(server, random);
 		expect_planned_stop(server);
 		server_destroy(server);
@@ -701,6 +724,69 @@
 	    test_idle_connections);
 }
 
+/*
+ * Starts a daemon whose log nobody reads; returns when it serves and has had
+ * the time to log its start, which comes next.
+ */
+static struct server *
+start_with_unread_log(void)
+{
+	struct server *server = server_create();
+	struct cluster_answer answer;
+
+	server->full_log = true;
+	server_spawn(server, NULL);
+	for (int i = 0; i < EVENT_TIMEOUT && !accepts(server->addresses[1]);
+	     i++)
+		g_usleep(1000);
+	answer = cluster_call(server->addresses[1], "GET", "/v1/state", NULL,
+	    "test-operator-token");
+	g_assert_cmpuint(answer.http_status, ==, 200);
+	cluster_answer_clear(&answer);
+	g_usleep(OBSTACLE_TIME_US);
+	return server;
+}
+
+/* A log that nobody reads must not keep the daemon from a planned stop. */
+static void
+test_stop_with_unread_log(void)
+{
+	struct server *server = start_with_unread_log();
+	int polls = 0;
+
+	g_subprocess_send_signal(server->process, SIGTERM);
+	/* The identifier is NULL once the process has ended. */
+	while (g_subprocess_get_identifier(server->process) != NULL &&
+	    polls++ < EVENT_TIMEOUT)
+		g_usleep(1000);
+	g_assert_null(g_subprocess_get_identifier(server->process));
+	expect_exit(server, 0);
+	server_destroy(server);
+}
+
+/* When the log is read again, it tells how many lines are missing. */
+static void
+test_log_read_again(void)
+{
+	struct server *server = start_with_unread_log();
+
+	run_for(server, OBSTACLE_TIME_US);
+	g_string_truncate(server->log, 0);
+	g_subprocess_send_signal(server->process, SIGHUP);
+	wait_logged(server, "log lines were dropped");
+	wait_logged(server, "SIGHUP");
+	stop_server(server);
+	server_destroy(server);
+}
+
+static void
+add_log_tests(void)
+{
+	g_test_add_func(
+	    "/daemon-start/stop-with-unread-log", test_stop_with_unread_log);
+	g_test_add_func("/daemon-start/log-read-again", test_log_read_again);
+}
+
 static void
 add_obstacle_tests(void)
 {
@@ -750,5 +836,6 @@
 	g_test_add_func("/daemon-start/pauses", test_pauses);
 	add_obstacle_tests();
 	add_descriptor_tests();
+	add_log_tests();
 	return g_test_run();
 }
