Report output that wisteriavanectl could not write

On a full disk the tool ended with exit code 0 although its output was lost, and a reader that left ended it by SIGPIPE, during `contract put` before its result.

The tool ignores SIGPIPE, checks its output at the end, and returns the new exit code 7 with a line on standard error if all was done but the output is not complete. Other exit codes are unchanged.

/follow/full-disk and /follow/reader-left failed before (exit code 0, end by a signal) and pass now with the rest of test_follow. test_processes and test_process_faults, which run the tool, pass.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -19,7 +19,8 @@
 	CTL_NO_ANSWER = 3, /**< no answer was received */
 	CTL_CONFLICT = 4, /**< another version is current */
 	CTL_NOT_CONFIRMED = 5, /**< accepted; not in force on all members */
-	CTL_UNKNOWN = 6 /**< whether it took effect or ran is unknown */
+	CTL_UNKNOWN = 6, /**< whether it took effect or ran is unknown */
+	CTL_NOT_WRITTEN = 7 /**< done, but not all output was written */
 };
 
 /** Maximum number of positional arguments, the command included. */
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -4,6 +4,8 @@
  * and jobs as a caller.
  */
 #include <argp.h>
+#include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -198,7 +200,7 @@
     "Operates the VMs of a wisteriavane deployment.\v"
     "Exit codes: 0 done, 1 refused, 2 bad usage, 3 no answer, 4 version "
     "conflict, 5 accepted but not seen in force on every member, 6 whether it "
-    "took effect is unknown.",
+    "took effect is unknown, 7 done but not all output was written.",
     NULL, NULL, NULL};
 
 struct command {
@@ -250,6 +252,21 @@
 	return ctl_usage("unknown command; --help lists them");
 }
 
+/*
+ * Writes the rest of the output and returns the exit code. Output that is lost,
+ * as on a full disk, must not look complete.
+ */
+static enum ctl_exit
+finish_output(enum ctl_exit result)
+{
+	bool flushed = fflush(stdout) == 0;
+
+	if (flushed && !ferror(stdout))
+		return result;
+	fprintf(stderr, "not all output could be written\n");
+	return result == CTL_OK ? CTL_NOT_WRITTEN : result;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -265,11 +282,13 @@
 	ctl.deadline = -1;
 	ctl.coverage_minimum = -1;
 	ctl.if_version = -1;
+	/* A reader that leaves must not end a change before its result. */
+	signal(SIGPIPE, SIG_IGN);
 	argp_err_exit_status = CTL_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &ctl);
 	result = run_command(&ctl);
 	g_ptr_array_unref(ctl.members);
 	g_ptr_array_unref(ctl.log_paths);
 	g_free(ctl.token);
-	return result;
+	return finish_output(result);
 }
--- a/test/test_follow.c
+++ b/test/test_follow.c
@@ -3,10 +3,12 @@
  * Tests of `wisteriavanectl follow` on the logs of two entry servers, one of
  * which is unsorted and ends with a truncated line.
  */
+#include <fcntl.h>
 #include <gio/gio.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <string.h>
+#include <unistd.h>
 
 static const char first_log[] =
     "{\"time_ms\":1000,\"vm\":\"vm0\",\"event\":\"routes_changed\","
@@ -117,6 +119,63 @@
 	run_clear(&run);
 }
 
+/* Runs the program with a log and its standard output on a descriptor. */
+static int
+run_with_output(int output, char **err)
+{
+	GSubprocessLauncher *launcher =
+	    g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDERR_PIPE);
+	char *log;
+	GSubprocess *process;
+	int status;
+
+	g_assert_cmpint(
+	    g_file_open_tmp("wisteriavane-XXXXXX", &log, NULL), >=, 0);
+	g_assert_true(g_file_set_contents(log, first_log, -1, NULL));
+	g_subprocess_launcher_take_stdout_fd(launcher, output);
+	process = g_subprocess_launcher_spawn(launcher, NULL,
+	    WV_BUILD_DIR "/wisteriavanectl", "follow", "a", "--log", log, NULL);
+	g_assert_true(g_subprocess_communicate_utf8(
+	    process, NULL, NULL, NULL, err, NULL));
+	g_assert_true(g_subprocess_get_if_exited(process));
+	status = g_subprocess_get_exit_status(process);
+	g_object_unref(process);
+	g_object_unref(launcher);
+	g_unlink(log);
+	g_free(log);
+	return status;
+}
+
+/* Output that a full disk lost must not look complete to a script. */
+static void
+test_full_disk(void)
+{
+	char *err = NULL;
+
+	g_assert_cmpint(
+	    run_with_output(open("/dev/full", O_WRONLY | O_CLOEXEC), &err), ==,
+	    7);
+	g_assert_nonnull(strstr(err, "not all output could be written"));
+	g_free(err);
+}
+
+/*
+ * A reader that leaves must not end the program by SIGPIPE: an operator would
+ * not learn whether a change took effect.
+ */
+static void
+test_reader_left(void)
+{
+	char *err = NULL;
+	int ends[2];
+
+	g_assert_cmpint(pipe2(ends, O_CLOEXEC), ==, 0);
+	close(ends[0]);
+	g_assert_cmpint(run_with_output(ends[1], &err), ==, 7);
+	g_assert_nonnull(strstr(err, "not all output could be written"));
+	g_free(err);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -124,5 +183,7 @@
 	g_test_add_func("/follow/request", test_request);
 	g_test_add_func("/follow/unknown-request", test_unknown_request);
 	g_test_add_func("/follow/empty-identifier", test_empty_identifier);
+	g_test_add_func("/follow/full-disk", test_full_disk);
+	g_test_add_func("/follow/reader-left", test_reader_left);
 	return g_test_run();
 }
