Limit the memory of requests and answers that servers buffer

A server buffered whatever callers sent and did not read: at 4100 descriptors, 1695 callers with bodies of 256 KB take 424 MB and up to 128 KB each of later requests another 217 MB, and answers that are not read were not limited at all. The smallest machines have 260 MB. A connection also kept the buffer of its largest answer as long as it lived.

A server now counts the bytes of its buffers: 32 MB for callers, 64 MB for other VMs, which may read large lists all at once, and 2 MB each for address queries, readiness and metrics. With 48 MB each for answers of searchers and of the store this is 198 MB. Above its limit a server refuses incomplete requests of more than 16 KB with 503, reads 4 KB at a time, does not read connections whose request is in progress, and cuts the answers that have waited longest for their callers to read, except the newest. Buffers above 16 KB are released after the answer. Bytes after a request that ends the connection are dropped.

Copies of requests for searchers are not part of these limits.

test_entry_limits, 1500 callers that send 58 KB of a body of 60 KB each: peak memory of the process before 100544 kB, none refused; after 37144 and 37100 kB, 762 and 736 refused with 503, an order is served meanwhile.

--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -255,6 +255,12 @@
 {
 	struct entry *entry = ((struct gateway *)data)->entry;
 
+	if (status == 503) {
+		wv_counter_add(&entry->metrics.refused_not_run, 1);
+		log_line(entry->log, LOG_FAILURE, "request_refused",
+		    "\"id\":\"\",\"status\":503,\"reason\":\"memory\"");
+		return;
+	}
 	wv_counter_add(&entry->metrics.malformed, 1);
 	log_line(entry->log, LOG_FAILURE, "request_malformed", "\"status\":%u",
 	    status);
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -34,6 +34,7 @@
 	X(connections_opened) /* to searchers */             \
 	X(connections_yielded) /* idle ones, to new ones */  \
 	X(accepts_failed) /* no descriptor or memory */      \
+	X(answers_cut) /* unread, buffers were full */       \
 	X(store_calls)                                       \
 	X(store_failures)                                    \
 	X(objects_unreadable)                                \
--- a/entry/server.c
+++ b/entry/server.c
@@ -18,6 +18,13 @@
 #define READ_SIZE 65536
 /** Buffered bytes of later requests after which reading pauses. */
 #define MAX_PENDING_BYTES 65536
+/**
+ * Buffers of a connection that are always allowed, and the size of a read,
+ * while the buffers of all connections are full, bytes: small requests are
+ * served then too.
+ */
+#define SMALL_BUFFER_BYTES 16384
+#define SMALL_READ_SIZE 4096
 /** How long a caller may take to close after the last answer, ms. */
 #define LINGER_TIMEOUT 1000
 /** Connections accepted in one iteration of the event loop. */
@@ -58,6 +65,11 @@
 	bool accept_paused; /* the listener's event is not pending */
 	bool crowded; /* as last reported */
 	bool shortage_seen; /* since the last check */
+	GQueue writing; /* struct server_conn with an answer that the caller
+			   has not read, the oldest first */
+	struct event *cut; /* cuts answers while the buffers are full */
+	size_t buffered; /* bytes of all connections' buffers */
+	size_t max_buffered;
 	server_shortage_fn shortage; /* may be NULL */
 	void *shortage_data;
 	size_t n_busy;
@@ -68,7 +80,9 @@
 	struct server *server;
 	struct server_conn *next;
 	struct server_conn *previous;
-	GList idle_link; /* in the server's queue of idle connections */
+	GList link; /* in the queue */
+	GQueue *queue; /* the server's `idle`, its `writing` or NULL */
+	size_t counted; /* bytes of the server's `buffered` */
 	int fd;
 	enum conn_state state;
 	struct event *read;
@@ -81,22 +95,52 @@
 	size_t written; /* bytes of it that have been sent */
 	bool close_after; /* close after this answer */
 	bool had_request; /* the request in progress is not the first one */
-	bool is_idle; /* no byte of a request has arrived */
 	void *context; /* user pointer of the request in progress */
 };
 
+/* Moves a connection to the end of a queue; NULL: to none. */
 static void
-set_idle(struct server_conn *conn, bool idle)
+move_to_queue(struct server_conn *conn, GQueue *queue)
 {
-	GQueue *queue = &conn->server->idle;
-
-	if (idle == conn->is_idle)
+	if (queue == conn->queue)
 		return;
-	conn->is_idle = idle;
-	if (idle)
-		g_queue_push_tail_link(queue, &conn->idle_link);
-	else
-		g_queue_unlink(queue, &conn->idle_link);
+	if (conn->queue != NULL)
+		g_queue_unlink(conn->queue, &conn->link);
+	conn->queue = queue;
+	if (queue != NULL)
+		g_queue_push_tail_link(queue, &conn->link);
+}
+
+static bool
+is_idle(const struct server_conn *conn)
+{
+	return conn->queue == &conn->server->idle;
+}
+
+static size_t
+message_size(const struct message *message)
+{
+	return message == NULL
+	    ? 0
+	    : message->text->allocated_len + message->body->allocated_len;
+}
+
+static bool
+is_full(const struct server *server)
+{
+	return server->buffered > server->max_buffered;
+}
+
+/* Counts the buffers of a connection after they have changed. */
+static void
+count_buffers(struct server_conn *conn)
+{
+	size_t bytes = message_size(conn->request) +
+	    message_size(conn->parser.message) + conn->pending->allocated_len +
+	    conn->out->allocated_len;
+
+	conn->server->buffered += bytes - conn->counted;
+	conn->counted = bytes;
 }
 
 /* Accepts again after a pause. */
@@ -115,8 +159,7 @@
 {
 	struct server *server = conn->server;
 
-	if (state != CONN_READING)
-		set_idle(conn, false);
+	move_to_queue(conn, NULL);
 	server->n_busy -= conn->state == CONN_BUSY;
 	server->n_writing -= conn->state == CONN_WRITING;
 	conn->state = state;
@@ -140,6 +183,7 @@
 	event_free(conn->write);
 	event_free(conn->timer);
 	close(conn->fd);
+	server->buffered -= conn->counted;
 	message_parser_clear(&conn->parser);
 	message_destroy(conn->request);
 	g_string_free(conn->pending, TRUE);
@@ -183,12 +227,24 @@
 	conn->parser.header_limit = limits->header_bytes;
 	conn->parser.body_limit = limits->body_bytes;
 	message_parser_reset(&conn->parser, false);
-	set_idle(conn, true);
+	count_buffers(conn);
+	move_to_queue(conn, &conn->server->idle);
 	set_timer(conn, limits->idle_timeout);
 	event_add(conn->read, NULL);
 	resume_accepting(conn->server);
 }
 
+/* Empties a buffer; a large one is released, or each would stay so large. */
+static void
+empty_buffer(GString **buffer)
+{
+	g_string_truncate(*buffer, 0);
+	if ((*buffer)->allocated_len <= SMALL_BUFFER_BYTES)
+		return;
+	g_string_free(*buffer, TRUE);
+	*buffer = g_string_new(NULL);
+}
+
 static void parse_bytes(
     struct server_conn *conn, const char *data, size_t length);
 
@@ -198,7 +254,7 @@
 {
 	GString *pending = conn->pending;
 
-	g_string_truncate(conn->out, 0);
+	empty_buffer(&conn->out);
 	conn->written = 0;
 	if (conn->close_after) {
 		linger(conn);
@@ -224,10 +280,16 @@
 		return;
 	}
 	conn->written += n > 0 ? (size_t)n : 0;
-	if (conn->written == conn->out->len)
+	if (conn->written == conn->out->len) {
 		finish_answer(conn);
-	else
-		event_add(conn->write, NULL);
+		return;
+	}
+	event_add(conn->write, NULL);
+	move_to_queue(conn, &conn->server->writing);
+	count_buffers(conn);
+	/* Other connections must not be closed within their callbacks. */
+	if (is_full(conn->server))
+		event_active(conn->server->cut, EV_TIMEOUT, 0);
 }
 
 static void
@@ -300,9 +362,26 @@
 {
 	conn->server->ops->rejected(conn->server->data, status);
 	conn->close_after = true;
+	message_parser_clear(&conn->parser);
+	count_buffers(conn);
 	server_answer_text(conn, status, "refused\n");
 }
 
+/* Refuses a request that is not complete because the buffers are full. */
+static void
+reject_for_memory(struct server_conn *conn)
+{
+	GString *fields =
+	    g_string_new("Content-Type: text/plain\r\nRetry-After: 1\r\n");
+
+	conn->server->ops->rejected(conn->server->data, 503);
+	conn->close_after = true;
+	message_parser_clear(&conn->parser);
+	count_buffers(conn);
+	server_answer(conn, 503, fields, wv_string_borrow("not run\n"));
+	g_string_free(fields, TRUE);
+}
+
 static unsigned
 fault_status(enum message_fault fault)
 {
@@ -325,6 +404,7 @@
 
 	event_del(conn->timer);
 	conn->request = message_parser_take(&conn->parser);
+	count_buffers(conn);
 	set_state(conn, CONN_BUSY);
 	server->ops->request(server->data, conn, conn->request);
 }
@@ -359,8 +439,13 @@
 		deliver_request(conn);
 		return;
 	}
-	if (conn->is_idle && message_parser_has_started(&conn->parser)) {
-		set_idle(conn, false);
+	count_buffers(conn);
+	if (is_full(conn->server) && conn->counted > SMALL_BUFFER_BYTES) {
+		reject_for_memory(conn);
+		return;
+	}
+	if (is_idle(conn) && message_parser_has_started(&conn->parser)) {
+		move_to_queue(conn, NULL);
 		set_timer(conn, conn->server->limits.header_timeout);
 	}
 	if (!had_headers && conn->parser.headers_done) {
@@ -384,9 +469,11 @@
 {
 	if (conn->state == CONN_READING) {
 		parse_bytes(conn, data, length);
-	} else if (conn->state != CONN_LINGERING) {
+	} else if (!conn->close_after) {
 		g_string_append_len(conn->pending, data, (gssize)length);
-		if (conn->pending->len > MAX_PENDING_BYTES)
+		count_buffers(conn);
+		if (conn->pending->len > MAX_PENDING_BYTES ||
+		    is_full(conn->server))
 			event_del(conn->read);
 	}
 }
@@ -396,7 +483,8 @@
 {
 	static _Thread_local char buffer[READ_SIZE];
 	struct server_conn *conn = data;
-	ssize_t n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+	size_t size = is_full(conn->server) ? SMALL_READ_SIZE : READ_SIZE;
+	ssize_t n = recv(fd, buffer, size, MSG_DONTWAIT);
 
 	(void)what;
 	if (n > 0)
@@ -433,7 +521,7 @@
 	struct server_conn *conn = g_new0(struct server_conn, 1);
 
 	conn->server = server;
-	conn->idle_link.data = conn;
+	conn->link.data = conn;
 	conn->fd = fd;
 	conn->read =
 	    event_new(server->base, fd, EV_READ | EV_PERSIST, on_read, conn);
@@ -473,6 +561,27 @@
 	report_shortage(server, SERVER_CROWDED, error);
 }
 
+/*
+ * Closes connections whose answers have waited longest for their callers to
+ * read, until the buffers are not full. The newest one stays.
+ */
+static void
+on_cut(evutil_socket_t fd, short what, void *data)
+{
+	struct server *server = data;
+
+	(void)fd;
+	(void)what;
+	while (is_full(server) && server->writing.length > 1) {
+		struct server_conn *conn =
+		    g_queue_pop_head_link(&server->writing)->data;
+
+		conn->queue = NULL;
+		conn_close(conn);
+		report_shortage(server, SERVER_ANSWER_CUT, 0);
+	}
+}
+
 static void
 on_shortage_end(evutil_socket_t fd, short what, void *data)
 {
@@ -538,8 +647,8 @@
 		link = link->next;
 		if (has_unread_bytes(conn))
 			continue;
-		conn->is_idle = false;
-		g_queue_unlink(&server->idle, &conn->idle_link);
+		g_queue_unlink(&server->idle, &conn->link);
+		conn->queue = NULL;
 		conn_close(conn);
 		note_shortage(server, 0);
 		report_shortage(server, SERVER_YIELDED, 0);
@@ -626,6 +735,8 @@
 	server->fd = -1;
 	server->limits = default_limits;
 	server->max_conns = SIZE_MAX;
+	server->max_buffered = SIZE_MAX;
+	server->cut = event_new(base, -1, 0, on_cut, server);
 	server->resume = event_new(base, -1, 0, on_resume, server);
 	server->shortage_end = event_new(base, -1, 0, on_shortage_end, server);
 	return server;
@@ -654,6 +765,7 @@
 {
 	event_free(server->resume);
 	event_free(server->shortage_end);
+	event_free(server->cut);
 	g_free(server);
 }
 
@@ -712,6 +824,18 @@
 	resume_accepting(server);
 }
 
+void
+server_set_max_buffered(struct server *server, size_t max_buffered)
+{
+	server->max_buffered = max_buffered;
+}
+
+size_t
+server_count_buffered(const struct server *server)
+{
+	return server->buffered;
+}
+
 void
 server_drain(struct server *server)
 {
--- a/entry/server.h
+++ b/entry/server.h
@@ -34,23 +34,25 @@
 	 */
 	void (*caller_left)(void *data, struct server_conn *conn);
 	/**
-	 * The server rejected a request itself: malformed, too large or not
-	 * complete in time.
+	 * The server rejected a request itself: malformed, too large, not
+	 * complete in time or, with status 503, for want of memory.
 	 */
 	void (*rejected)(void *data, unsigned status);
 };
 
-/** What a server does because it has no descriptor for a connection. */
+/** What a server does because it lacks descriptors or memory. */
 enum server_shortage {
 	SERVER_YIELDED, /**< an idle connection was closed for a new one */
 	SERVER_ACCEPT_FAILED, /**< accept() failed for want of a resource */
+	SERVER_ANSWER_CUT, /**< a caller did not read its answer while the
+			      buffers were full */
 	SERVER_CROWDED, /**< the first of these, or the server does not accept
 			 because no connection is idle */
 	SERVER_UNCROWDED /**< none of this for a second */
 };
 
 /**
- * Receives what happens for want of descriptors.
+ * Receives what happens for want of descriptors or memory.
  *
  * @param error  errno value of accept(), or 0
  */
@@ -109,6 +111,17 @@
 void server_set_max_conns(struct server *server, size_t max_conns,
     server_shortage_fn shortage, void *data);
 
+/**
+ * Sets how many bytes of requests and answers the server buffers. When there
+ * are more, incomplete requests that are not small are refused with 503,
+ * connections with a request in progress are not read, and the answers that
+ * callers have not read for longest are cut.
+ */
+void server_set_max_buffered(struct server *server, size_t max_buffered);
+
+/** Returns how many bytes the buffers of all connections have. */
+size_t server_count_buffered(const struct server *server);
+
 /** Closes each connection after its next answer, with "Connection: close". */
 void server_drain(struct server *server);
 
--- a/entry/shortage.c
+++ b/entry/shortage.c
@@ -7,6 +7,16 @@
 #include "entry/entry.h"
 #include "entry/shares.h"
 
+/**
+ * Bytes that the servers buffer: for callers, for other VMs, and for address
+ * queries, readiness and metrics each. Other VMs may read large lists all at
+ * once when they start. Together with the limits on answers of searchers and of
+ * the store (gateway.c, store_sync.c) they stay below the memory of a small VM.
+ */
+#define MAX_BUFFERED_CALLERS (32u << 20)
+#define MAX_BUFFERED_CHANGES (64u << 20)
+#define MAX_BUFFERED_MINOR (2u << 20)
+
 /* Returns what a server serves, for log lines. */
 static const char *
 server_name(const struct entry *entry, const struct server *server)
@@ -34,6 +44,9 @@
 	case SERVER_ACCEPT_FAILED:
 		wv_counter_add(&entry->metrics.accepts_failed, 1);
 		break;
+	case SERVER_ANSWER_CUT:
+		wv_counter_add(&entry->metrics.answers_cut, 1);
+		break;
 	case SERVER_CROWDED:
 		log_line(entry->log, LOG_CHANGE, "connections_crowded",
 		    "\"server\":\"%s\",\"error\":\"%s\"", name,
@@ -51,10 +64,13 @@
 
 /* Limits a server, which may not exist. */
 static void
-limit_server(struct entry *entry, struct server *server, size_t max_conns)
+limit_server(struct entry *entry, struct server *server, size_t max_conns,
+    size_t max_buffered)
 {
-	if (server != NULL)
-		server_set_max_conns(server, max_conns, on_shortage, entry);
+	if (server == NULL)
+		return;
+	server_set_max_conns(server, max_conns, on_shortage, entry);
+	server_set_max_buffered(server, max_buffered);
 }
 
 void
@@ -65,11 +81,16 @@
 
 	getrlimit(RLIMIT_NOFILE, &limit);
 	shares = shares_divide((size_t)limit.rlim_cur);
-	limit_server(entry, gateway_server(entry->gateway), shares.callers);
-	limit_server(entry, entry->address_server, shares.addresses);
-	limit_server(entry, entry->readiness_server, shares.readiness);
-	limit_server(entry, entry->metrics_server, shares.metrics);
-	limit_server(entry, entry->change_server, shares.changes);
+	limit_server(entry, gateway_server(entry->gateway), shares.callers,
+	    MAX_BUFFERED_CALLERS);
+	limit_server(
+	    entry, entry->address_server, shares.addresses, MAX_BUFFERED_MINOR);
+	limit_server(entry, entry->readiness_server, shares.readiness,
+	    MAX_BUFFERED_MINOR);
+	limit_server(
+	    entry, entry->metrics_server, shares.metrics, MAX_BUFFERED_MINOR);
+	limit_server(
+	    entry, entry->change_server, shares.changes, MAX_BUFFERED_CHANGES);
 	log_line(entry->log, LOG_CHANGE, "connections_limited",
 	    "\"descriptors\":%" G_GUINT64_FORMAT ",\"callers\":%zu",
 	    (uint64_t)limit.rlim_cur, shares.callers);
--- a/test/test_entry_limits.c
+++ b/test/test_entry_limits.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "entry/server.h"
 #include "entry/shares.h"
 #include "test/entry_fixture.h"
 
@@ -27,6 +28,18 @@
 #define MAX_REFUSAL_TIME 500
 /** Longest time until requests are served after a shortage, ms. */
 #define MAX_RECOVERY_TIME 3000
+/**
+ * Connections with large bodies, the part of a body that is sent, bytes, and
+ * the peak memory of a VM, kB: its buffers of 32 MB, and what it needs anyway.
+ * All these bodies together would take 96 MB.
+ */
+#define N_LARGE 1500
+#define HALF_BODY 58000
+#define MAX_LARGE_MEMORY_KB (80 * 1024)
+/** Answers that are not read, their size and the limit on buffers, bytes. */
+#define N_UNREAD 12
+#define ANSWER_BYTES ((size_t)12 << 20)
+#define MAX_UNREAD_BYTES ((size_t)40 << 20)
 
 /* Each share is at least one and all together fit into the limit. */
 static void
@@ -341,11 +354,158 @@
 	fixture_destroy(fixture);
 }
 
+/* Returns the peak memory of a VM's process, kB. */
+static unsigned
+peak_memory(const struct vm *vm)
+{
+	char *path = g_strdup_printf(
+	    "/proc/%s/status", g_subprocess_get_identifier(vm->process));
+	char *content = NULL;
+	unsigned peak;
+
+	g_assert_true(g_file_get_contents(path, &content, NULL, NULL));
+	peak = (unsigned)strtoul(
+	    strstr(content, "VmHWM:") + strlen("VmHWM:"), NULL, 10);
+	g_free(content);
+	g_free(path);
+	return peak;
+}
+
+/*
+ * Many callers send requests with large bodies that they don't complete: the
+ * memory is bounded, they are refused as not run, and orders are served.
+ */
+static void
+test_large_half_requests(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	GString *bytes =
+	    g_string_new("POST /order/q HTTP/1.1\r\nHost: maps.example\r\n"
+			 "Content-Length: 60000\r\n\r\n");
+	int *fds = g_new(int, N_LARGE);
+	unsigned refused = 0;
+	char answer[64];
+
+	g_string_set_size(bytes, bytes->len + HALF_BODY);
+	memset(bytes->str + bytes->len - HALF_BODY, 'a', HALF_BODY);
+	open_store(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	for (int i = 0; i < N_LARGE; i++) {
+		fds[i] = socket_connect(vm->callers);
+		g_assert_cmpint(fds[i], >=, 0);
+		run_for(fixture, 1);
+		send(fds[i], bytes->str, bytes->len, MSG_NOSIGNAL);
+	}
+	g_assert_cmpuint(send_order(fixture, "order-1"), ==, 200);
+	for (int i = 0; i < N_LARGE; i++) {
+		ssize_t n = recv(fds[i], answer, sizeof(answer), MSG_DONTWAIT);
+
+		refused += n >= 12 && memcmp(answer, "HTTP/1.1 503", 12) == 0;
+		close(fds[i]);
+	}
+	g_test_message("%u kB, %u refused", peak_memory(vm), refused);
+	g_assert_cmpuint(peak_memory(vm), <=, MAX_LARGE_MEMORY_KB);
+	g_assert_cmpuint(refused, >, 0);
+	stop_vm(fixture, vm);
+	g_string_free(bytes, TRUE);
+	g_free(fds);
+	fixture_destroy(fixture);
+}
+
+/* Answers each request with ANSWER_BYTES bytes. */
+static void
+answer_large(
+    void *data, struct server_conn *conn, const struct message *message)
+{
+	GString *body = data;
+
+	(void)message;
+	server_answer(
+	    conn, 200, NULL, (struct wv_string){body->str, body->len});
+}
+
+static void
+ignore_left(void *data, struct server_conn *conn)
+{
+}
+
+static void
+ignore_rejected(void *data, unsigned status)
+{
+}
+
+static const struct server_ops large_ops = {
+    answer_large, ignore_left, ignore_rejected};
+
+static void
+count_cut(void *data, const struct server *server,
+    enum server_shortage shortage, int error)
+{
+	unsigned *n_cut = data;
+
+	(void)server;
+	(void)error;
+	*n_cut += shortage == SERVER_ANSWER_CUT;
+}
+
+/*
+ * Callers don't read large answers: the buffers stay bounded because the oldest
+ * answers are cut, and a caller that reads gets its own.
+ */
+static void
+test_unread_answers(void)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	char *address = g_strdup_printf("127.0.0.1:%u", fixture->ports[0]);
+	GString *answer = g_string_new(NULL);
+	GString *body = g_string_new(NULL);
+	unsigned n_cut = 0;
+	struct server *server =
+	    server_create(fixture->base, address, &large_ops, answer);
+	int fds[N_UNREAD];
+
+	g_string_set_size(answer, ANSWER_BYTES);
+	memset(answer->str, 'a', answer->len);
+	g_assert_nonnull(server);
+	server_set_max_conns(server, SIZE_MAX, count_cut, &n_cut);
+	server_set_max_buffered(server, MAX_UNREAD_BYTES);
+	for (int i = 0; i < N_UNREAD; i++) {
+		fds[i] = socket_connect(address);
+		run_for(fixture, CHECK_INTERVAL);
+		send(fds[i], request, strlen(request), MSG_NOSIGNAL);
+		run_for(fixture, CHECK_INTERVAL);
+		/* A buffer's size is rounded up to a power of two. */
+		g_assert_cmpuint(server_count_buffered(server), <=,
+		    MAX_UNREAD_BYTES + 4 * ANSWER_BYTES);
+	}
+	g_assert_cmpuint(n_cut, >, 0);
+	g_assert_cmpuint(
+	    exchange_bytes(fixture, address, request, body), ==, 200);
+	g_assert_cmpuint(body->len, ==, ANSWER_BYTES);
+	for (int i = 0; i < N_UNREAD; i++)
+		close(fds[i]);
+	run_for(fixture, CHECK_INTERVAL);
+	g_assert_cmpuint(server_count_buffered(server), ==, 0);
+	server_destroy(server);
+	g_string_free(answer, TRUE);
+	g_string_free(body, TRUE);
+	g_free(address);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	/*
+	 * A VM that is built with the address sanitizer would keep 256 MB of
+	 * freed memory, which says nothing of what it uses.
+	 */
+	g_setenv("ASAN_OPTIONS", "quarantine_size_mb=1", TRUE);
 	g_test_add_func("/entry-limits/shares", test_shares);
 	g_test_add_func("/entry-limits/idle-callers", test_idle_callers);
 	g_test_add_func("/entry-limits/half-requests", test_half_requests);
@@ -353,5 +513,8 @@
 	    "/entry-limits/request-in-progress", test_request_in_progress);
 	g_test_add_func("/entry-limits/accept-fails", test_accept_fails);
 	g_test_add_func("/entry-limits/no-outgoing", test_no_outgoing);
+	g_test_add_func(
+	    "/entry-limits/large-half-requests", test_large_half_requests);
+	g_test_add_func("/entry-limits/unread-answers", test_unread_answers);
 	return g_test_run();
 }
