Limit the memory of requests that are being sent to searchers

A connection to a searcher held a copy of its request until the next one, even when it was idle, and as many copies as there are connections were allowed: at 726 connections with bodies of 256 KB these take 186 MB beside the buffers for callers and answers.

The copies are now counted. A request that makes them exceed 24 MB is not sent; its attempt ends as not_sent, which has not run. The buffer of a request that was sent is released if it has more than 16 KB. The buffers for other VMs are limited to 48 MB instead of 64, so that all limits add up to 206 MB: callers 32, other VMs 48, three other servers 6, requests to searchers 24, answers of searchers 48 and of the store 48.

The tests of the entry servers pass.

--- a/entry/client.c
+++ b/entry/client.c
@@ -12,6 +12,8 @@
 
 /** Size of a read, bytes. */
 #define READ_SIZE 65536
+/** Largest buffer that is kept for the next request, bytes. */
+#define MAX_KEPT_BYTES 16384
 /** Largest header and body of an answer, bytes. */
 #define MAX_HEADER_BYTES 65536
 #define MAX_BODY_BYTES (64u << 20)
@@ -31,10 +33,12 @@
 	GString *out; /* the request */
 	size_t written; /* bytes of it that have been sent */
 	struct client_memory *memory; /* borrowed; NULL: not limited */
-	size_t counted; /* bytes of it that this client uses */
+	size_t counted; /* bytes of its `used` by this client */
+	size_t counted_request; /* bytes of its `requests` by this client */
 	unsigned skipped; /* answers skipped since the request */
 	bool connected;
 	bool waiting; /* for the answer to a request */
+	bool no_memory; /* there is none for the request: it is not sent */
 	bool no_reuse; /* no further request may be sent */
 	bool no_body; /* the answer has none: the request is HEAD */
 	wv_msec idle_limit; /* of the peer; 0: not known */
@@ -49,16 +53,42 @@
 	client->ops->ended(client->data, client, reason);
 }
 
+/*
+ * Counts the buffer of the request. Returns false if there is no memory for it.
+ */
+static bool
+count_request(struct client *client, size_t bytes)
+{
+	struct client_memory *memory = client->memory;
+
+	if (memory == NULL)
+		return true;
+	memory->requests += bytes - client->counted_request;
+	client->counted_request = bytes;
+	return memory->max_requests == 0 ||
+	    memory->requests <= memory->max_requests;
+}
+
+/* Releases the buffer of a request that has been sent, if it is large. */
+static void
+release_request(struct client *client)
+{
+	if (client->out->allocated_len <= MAX_KEPT_BYTES)
+		return;
+	g_string_free(client->out, TRUE);
+	client->out = g_string_new(NULL);
+	count_request(client, client->out->allocated_len);
+}
+
 static void
 write_request(struct client *client)
 {
-	size_t left = client->out->len - client->written;
 	ssize_t n;
 
-	if (left == 0)
+	if (client->written >= client->out->len)
 		return;
-	n = send(client->fd, client->out->str + client->written, left,
-	    MSG_NOSIGNAL | MSG_DONTWAIT);
+	n = send(client->fd, client->out->str + client->written,
+	    client->out->len - client->written, MSG_NOSIGNAL | MSG_DONTWAIT);
 	if (n < 0 && errno != EAGAIN && errno != EINTR) {
 		/*
 		 * The peer may have answered before it read the whole request;
@@ -70,6 +100,8 @@
 	client->written += n > 0 ? (size_t)n : 0;
 	if (client->written < client->out->len)
 		event_add(client->write, NULL);
+	else
+		release_request(client);
 }
 
 static void
@@ -80,6 +112,10 @@
 	int error = 0;
 
 	(void)what;
+	if (client->no_memory) {
+		end_connection(client, CLIENT_REFUSED);
+		return;
+	}
 	if (!client->connected) {
 		if (fd < 0 ||
 		    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
@@ -266,6 +302,7 @@
 {
 	message_parser_clear(&client->parser);
 	count_memory(client);
+	count_request(client, 0);
 	event_free(client->read);
 	event_free(client->write);
 	if (client->fd >= 0)
@@ -284,8 +321,13 @@
 	client->skipped = 0;
 	client->no_body = no_body;
 	message_parser_reset(&client->parser, no_body);
-	if (client->connected)
+	if (!count_request(client, client->out->allocated_len)) {
+		client->no_memory = true;
+		count_request(client, 0);
+		event_active(client->write, EV_WRITE, 0);
+	} else if (client->connected) {
 		write_request(client);
+	}
 }
 
 bool
--- a/entry/client.h
+++ b/entry/client.h
@@ -14,11 +14,14 @@
 
 struct client;
 
-/** Memory that a group of clients may use for incomplete answers. */
+/** Memory that a group of clients may use for requests and answers. */
 struct client_memory {
 	size_t max_answer; /**< largest body of one answer, bytes */
 	size_t max_total; /**< of all bodies being received, bytes */
 	size_t used; /**< by these bodies now, bytes */
+	size_t max_requests; /**< of all requests that are being sent, bytes;
+				0: not limited */
+	size_t requests; /**< buffers of these requests now, bytes */
 };
 
 /** Why a connection has ended. */
@@ -57,8 +60,9 @@
     const struct client_ops *ops, void *data);
 
 /**
- * Limits the memory for answers. An answer that exceeds it ends the connection
- * with CLIENT_MALFORMED.
+ * Limits the memory for requests and answers. An answer that exceeds it ends
+ * the connection with CLIENT_MALFORMED. A request that exceeds it is not sent
+ * and ends the connection with CLIENT_REFUSED.
  *
  * @param memory  shared by a group of clients; borrowed until the client is
  *                destroyed
--- a/entry/shortage.c
+++ b/entry/shortage.c
@@ -14,8 +14,10 @@
  * the store (gateway.c, store_sync.c) they stay below the memory of a small VM.
  */
 #define MAX_BUFFERED_CALLERS (32u << 20)
-#define MAX_BUFFERED_CHANGES (64u << 20)
+#define MAX_BUFFERED_CHANGES (48u << 20)
 #define MAX_BUFFERED_MINOR (2u << 20)
+/** Bytes of requests that are being sent to searchers. */
+#define MAX_REQUESTS_BYTES (24u << 20)
 
 /* Returns what a server serves, for log lines. */
 static const char *
@@ -91,6 +93,7 @@
 	    entry, entry->metrics_server, shares.metrics, MAX_BUFFERED_MINOR);
 	limit_server(
 	    entry, entry->change_server, shares.changes, MAX_BUFFERED_CHANGES);
+	entry->answer_memory.max_requests = MAX_REQUESTS_BYTES;
 	log_line(entry->log, LOG_CHANGE, "connections_limited",
 	    "\"descriptors\":%" G_GUINT64_FORMAT ",\"callers\":%zu",
 	    (uint64_t)limit.rlim_cur, shares.callers);
--- a/test/test_entry_limits.c
+++ b/test/test_entry_limits.c
@@ -40,6 +40,9 @@
 #define N_UNREAD 12
 #define ANSWER_BYTES ((size_t)12 << 20)
 #define MAX_UNREAD_BYTES ((size_t)40 << 20)
+/** Requests of 130 kB that are sent at once, and the limit on them, bytes. */
+#define N_REQUESTS 16
+#define MAX_REQUESTS_BYTES ((size_t)1 << 20)
 
 /* Each share is at least one and all together fit into the limit. */
 static void
@@ -496,6 +499,81 @@
 	fixture_destroy(fixture);
 }
 
+/* What became of several requests. */
+struct outcomes {
+	unsigned answered;
+	unsigned refused;
+};
+
+static bool
+count_answered(void *data, struct client *client, struct message *answer)
+{
+	struct outcomes *outcomes = data;
+
+	(void)client;
+	outcomes->answered++;
+	message_destroy(answer);
+	return true;
+}
+
+static void
+count_ended(void *data, struct client *client, enum client_end_reason end)
+{
+	struct outcomes *outcomes = data;
+
+	g_assert_cmpint(end, ==, CLIENT_REFUSED);
+	g_assert_true(client_is_unsent(client));
+	outcomes->refused++;
+}
+
+static const struct client_ops counting_ops = {count_answered, count_ended};
+
+/*
+ * Large requests at once: those beyond the limit are not sent, the others are
+ * served, and idle connections don't keep their buffers.
+ */
+static void
+test_large_requests(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	char *address = g_strdup_printf("127.0.0.1:%u", fixture->ports[0]);
+	GString *answer = g_string_new("ok");
+	struct server *server =
+	    server_create(fixture->base, address, &large_ops, answer);
+	GString *request = g_string_new("POST / HTTP/1.1\r\nHost: a\r\n"
+					"Content-Length: 130000\r\n\r\n");
+	struct client_memory memory = {.max_answer = ANSWER_BYTES,
+	    .max_total = ANSWER_BYTES,
+	    .max_requests = MAX_REQUESTS_BYTES};
+	struct outcomes outcomes = {0};
+	struct client *clients[N_REQUESTS];
+
+	g_assert_nonnull(server);
+	g_string_set_size(request, request->len + 130000);
+	memset(request->str + request->len - 130000, 'a', 130000);
+	for (int i = 0; i < N_REQUESTS; i++) {
+		clients[i] = client_create(
+		    fixture->base, address, &counting_ops, &outcomes);
+		client_limit_memory(clients[i], &memory);
+		client_send(clients[i],
+		    (struct wv_string){request->str, request->len}, false);
+		g_assert_cmpuint(memory.requests, <=, MAX_REQUESTS_BYTES);
+	}
+	run_for(fixture, MEASURED_TIME);
+	g_assert_cmpuint(outcomes.answered, >=, 4);
+	g_assert_cmpuint(outcomes.refused, >=, 4);
+	g_assert_cmpuint(outcomes.answered + outcomes.refused, ==, N_REQUESTS);
+	g_assert_cmpuint(memory.requests, <, MAX_REQUESTS_BYTES / 10);
+	for (int i = 0; i < N_REQUESTS; i++)
+		client_destroy(clients[i]);
+	g_assert_cmpuint(memory.requests, ==, 0);
+	server_destroy(server);
+	g_string_free(request, TRUE);
+	g_string_free(answer, TRUE);
+	g_free(address);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -516,5 +594,6 @@
 	g_test_add_func(
 	    "/entry-limits/large-half-requests", test_large_half_requests);
 	g_test_add_func("/entry-limits/unread-answers", test_unread_answers);
+	g_test_add_func("/entry-limits/large-requests", test_large_requests);
 	return g_test_run();
 }
