Let the tests of signals during a start end with a sanitized server

The dynamic loader of the server reports to a pipe of 4096 bytes, and nobody reads it while the test waits for the exit of the process. A sanitized server reports more than that at its exit (its stack: _dl_fini, _dl_debug_printf, a blocked write), so test and server waited for each other. The pipe now grows when the loader may continue; until then it is as small as before, and the loader is held as before.

--- a/test/test_start_signals.c
+++ b/test/test_start_signals.c
@@ -15,6 +15,9 @@
 #define MAX_SIGNALS 12
 #define MAX_SIGNAL_INTERVAL 3.0
 
+/** Most that a loader reports while nobody reads, bytes. */
+#define MAX_REPORT_BYTES (1 << 20)
+
 /* A process whose dynamic loader reports its work to a small pipe. */
 struct loader {
 	struct event *drain;
@@ -71,10 +74,15 @@
 	    EV_READ | EV_PERSIST, on_report, NULL);
 }
 
-/* Lets the loader continue. */
+/*
+ * Lets the loader continue. The pipe grows, since nobody reads it while a test
+ * waits for the exit of the process, whose loader reports until then.
+ */
 static void
 finish_loading(struct loader *loader)
 {
+	g_assert_cmpint(
+	    fcntl(loader->ends[0], F_SETPIPE_SZ, MAX_REPORT_BYTES), >=, 0);
 	evutil_make_socket_nonblocking(loader->ends[0]);
 	event_add(loader->drain, NULL);
 }
