Return no node for a text that is not one object after another fault

wv_json_parse() cleared the result only if it set the status itself. If the status still had the fault of an earlier text, a valid array or a text of two values gave a node that its parser had already released. The daemon compares two contract texts with one status (is_equal_json): with an invalid first text and "[]" as the second one it accessed and released freed memory. The entry server uses a new status for each text and was not affected.

test_dialect failed before (the node of "[]" was returned) and passes now.

--- a/http/json.c
+++ b/http/json.c
@@ -33,8 +33,10 @@
 	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root) &&
 	    wv_json_text_is_single(body)) {
 		json_node_ref(root);
-	} else if (status->code != WV_BAD_JSON) {
-		wv_status_set(status, WV_BAD_JSON, "not one JSON object");
+	} else {
+		if (status->code != WV_BAD_JSON)
+			wv_status_set(
+			    status, WV_BAD_JSON, "not one JSON object");
 		root = NULL;
 	}
 	g_object_unref(parser);
--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -358,6 +358,24 @@
 	g_assert_null(decode_routes(TABLE("\"weightedServices\":[7]")));
 }
 
+/*
+ * A text that is no object gives no node, also if the status still has the
+ * fault of another text: the node belonged to a parser that is released, so a
+ * comparison of two invalid texts accessed freed memory.
+ */
+static void
+test_two_bad_texts(void)
+{
+	static const char *const texts[] = {"{", "[]", "{} {}"};
+	struct wv_status status = {0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_assert_null(
+		    wv_json_parse(wv_string_borrow(texts[i]), &status));
+		g_assert_cmpint(status.code, ==, WV_BAD_JSON);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -365,6 +383,7 @@
 	g_test_add_func("/dialect/entry", test_entry);
 	g_test_add_func("/dialect/unreadable", test_unreadable);
 	g_test_add_func("/dialect/bodies", test_bodies);
+	g_test_add_func("/dialect/two-bad-texts", test_two_bad_texts);
 	g_test_add_func("/dialect/unreadable-object", test_unreadable_object);
 	g_test_add_func("/dialect/cut-bodies", test_cut_bodies);
 	g_test_add_func("/dialect/changes", test_changes);
