Inject series of overlapping restarts in the soak

Kills, stops, reloads and start faults now also come in series of 2 to 8 within 250 ms of each other, mostly of one VM: obstacles of one start overlap the next one.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -13,6 +13,9 @@
 /** Bounds of the random duration of a fault, ms. */
 #define MIN_FAULT_DURATION 200
 #define MAX_FAULT_DURATION 2000
+/** Most faults of a series, and longest time between two of them, ms. */
+#define MAX_SERIES 8
+#define MAX_SERIES_INTERVAL 250.0
 /** Time after which a draining searcher must receive no new requests, ms. */
 #define DRAIN_BOUND 3000.0
 /** Time after DRAIN_BOUND during which requests to it are counted, ms. */
@@ -319,6 +322,49 @@
 		1000 + 100 * random_below(soak, 10)));
 }
 
+/*
+ * Injects the next fault of a series, which concerns one VM mostly; stage is
+ * the number of those to come.
+ */
+static void
+continue_series(struct action *action)
+{
+	struct soak *soak = action->soak;
+	unsigned i = random_below(soak, 3) == 0
+	    ? random_below(soak, soak->n_vms)
+	    : action->index;
+
+	if (action->stage-- == 0 || soak_now(soak) >= soak->faults_end_at) {
+		action_destroy(action);
+		return;
+	}
+	switch (random_below(soak, 4)) {
+	case 0:
+		kill_vm(soak, i);
+		break;
+	case 1:
+		stop_vm(soak, i);
+		break;
+	case 2:
+		reload_vm(soak, i);
+		break;
+	default:
+		soak_inject_start_fault(soak, &soak->vms[i],
+		    g_rand_int_range(
+			soak->random, MIN_FAULT_DURATION, MAX_FAULT_DURATION));
+		break;
+	}
+	action_repeat(
+	    action, g_rand_double_range(soak->random, 0, MAX_SERIES_INTERVAL));
+}
+
+static void
+start_series(struct soak *soak, unsigned i)
+{
+	action_schedule(soak, 0, i, continue_series)->stage =
+	    2 + random_below(soak, MAX_SERIES - 1);
+}
+
 static void
 inject_fault(struct soak *soak)
 {
@@ -326,7 +372,7 @@
 	    soak->random, MIN_FAULT_DURATION, MAX_FAULT_DURATION);
 	unsigned vm = random_below(soak, soak->n_vms);
 
-	switch (random_below(soak, 18)) {
+	switch (random_below(soak, 20)) {
 	case 0:
 		pause_vm(soak, vm, duration);
 		break;
@@ -370,6 +416,10 @@
 	case 16:
 		soak_inject_start_fault(soak, &soak->vms[vm], duration);
 		break;
+	case 17:
+	case 18:
+		start_series(soak, vm);
+		break;
 	default:
 		change_routes(soak);
 		break;
