Keep running when the log file reaches its limit of size

A write beyond RLIMIT_FSIZE raises SIGXFSZ, which ended the process, and again at its first line after each restart. Ignore it, as well as SIGIO, SIGPWR and SIGXCPU, which ask for nothing that the server knows.

--- a/launch/main.c
+++ b/launch/main.c
@@ -20,9 +20,13 @@
 /** Signals that ask for a stop or a reload; the server handles them. */
 static const int handled_signals[] = {SIGHUP, SIGINT, SIGTERM};
 
-/** Signals that would end the process but ask for nothing that it knows. */
-static const int ignored_signals[] = {
-    SIGALRM, SIGPIPE, SIGPROF, SIGUSR1, SIGUSR2, SIGVTALRM};
+/**
+ * Signals that would end the process but ask for nothing that it knows. SIGXFSZ
+ * is sent for a write to a log file that has reached RLIMIT_FSIZE; once it is
+ * ignored, the write fails and lines are dropped.
+ */
+static const int ignored_signals[] = {SIGALRM, SIGIO, SIGPIPE, SIGPROF, SIGPWR,
+    SIGUSR1, SIGUSR2, SIGVTALRM, SIGXCPU, SIGXFSZ};
 
 #define LENGTH(array) (sizeof(array) / sizeof((array)[0]))
 
--- a/test/test_start_obstacles.c
+++ b/test/test_start_obstacles.c
@@ -5,6 +5,7 @@
  * that are closed.
  */
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -13,6 +14,8 @@
 
 /** How long an obstacle lasts after the start, ms. */
 #define OBSTACLE_TIME 500
+/** Limit of the size of the log file in its test, bytes. */
+#define MAX_LOG_SIZE 64
 
 /* A listening port of the VM, by the field of the settings that names it. */
 struct port {
@@ -299,6 +302,35 @@
 	fixture_destroy(fixture);
 }
 
+/* Limits files to a size that the log reaches within its first lines. */
+static void
+limit_file_size(void *data)
+{
+	const struct rlimit limit = {MAX_LOG_SIZE, MAX_LOG_SIZE};
+
+	prepare_child(data);
+	setrlimit(RLIMIT_FSIZE, &limit);
+}
+
+/*
+ * A log file at its limit of size costs lines only. A process that is ended by
+ * SIGXFSZ ends again at each restart, with its first line.
+ */
+static void
+test_log_file_full(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+
+	open_store(fixture);
+	prepare_vm(fixture, 0);
+	spawn_vm_with(fixture, 0, limit_file_size, NULL);
+	g_assert_true(wait_served(fixture));
+	run_for(fixture, OBSTACLE_TIME);
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -339,5 +371,6 @@
 	g_test_add_func("/start-obstacles/closed-streams", test_closed_streams);
 	g_test_add_func("/start-obstacles/shared-output-stays-blocking",
 	    test_shared_output_stays_blocking);
+	g_test_add_func("/start-obstacles/log-file-full", test_log_file_full);
 	return g_test_run();
 }
--- a/test/test_start_signals.c
+++ b/test/test_start_signals.c
@@ -208,8 +208,8 @@
 static void
 test_other_signals(void)
 {
-	static const int signals[] = {
-	    SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGPIPE};
+	static const int signals[] = {SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM,
+	    SIGPROF, SIGPIPE, SIGIO, SIGPWR, SIGXCPU, SIGXFSZ};
 	struct fixture *fixture = fixture_create(WORK_TIME);
 	struct vm *vm = &fixture->vms[0];
 
