Find the module of a server where the loader can't find its directory

The loader resolves $ORIGIN by /proc/self/exe. Without /proc, each start ended with exit code 1 ('cannot open shared object file', seen with /proc unmounted); a server linked to its libraries had no such need. The module is now also looked for beside the path that was executed, unless the process has gained privileges.

test_start_obstacles (module-beside-link) failed before with exit code 1 and passes.

--- a/launch/main.c
+++ b/launch/main.c
@@ -10,9 +10,12 @@
  */
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/auxv.h>
 #include <unistd.h>
 
 #include "launch/server_main.h"
@@ -42,7 +45,7 @@
 	sigprocmask(SIG_BLOCK, &signals, NULL);
 }
 
-/* Ignores signals unless a preloaded library handles them. */
+/* Ignores signals unless a library has installed a handler of its own. */
 static void
 ignore_signals(void)
 {
@@ -71,6 +74,29 @@
 		close(fd);
 }
 
+/*
+ * Loads the module from the directory of the executable. The loader finds that
+ * directory in /proc, which not every machine or chroot has mounted; the path
+ * that was executed serves there, unless the process has gained privileges.
+ */
+static void *
+load_module(void)
+{
+	const char *executable = (const char *)getauxval(AT_EXECFN);
+	void *module = dlopen(WV_SERVER_MODULE, RTLD_LAZY);
+	const char *slash;
+	char path[PATH_MAX];
+
+	if (module != NULL || executable == NULL || getauxval(AT_SECURE) != 0)
+		return module;
+	slash = strrchr(executable, '/');
+	if (slash == NULL)
+		return NULL;
+	snprintf(path, sizeof(path), "%.*s/%s", (int)(slash - executable),
+	    executable, WV_SERVER_MODULE);
+	return dlopen(path, RTLD_LAZY);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -80,7 +106,7 @@
 	block_handled_signals();
 	ignore_signals();
 	open_standard_streams();
-	module = dlopen(WV_SERVER_MODULE, RTLD_LAZY);
+	module = load_module();
 	if (module != NULL)
 		*(void **)&run = dlsym(module, SERVER_MAIN_SYMBOL);
 	if (run == NULL) {
--- a/test/test_start_obstacles.c
+++ b/test/test_start_obstacles.c
@@ -331,6 +331,55 @@
 	fixture_destroy(fixture);
 }
 
+/* Makes a link to a file of the build in a directory; returns its path. */
+static char *
+link_to_build(const char *dir, const char *name, const char *target)
+{
+	char *link = g_build_filename(dir, name, NULL);
+
+	g_assert_cmpint(symlink(target, link), ==, 0);
+	return link;
+}
+
+/*
+ * The loader may not find the directory of the executable, for instance without
+ * /proc: here, the executable is elsewhere. The module beside the path that was
+ * executed must be found.
+ */
+static void
+test_module_beside_link(void)
+{
+	static const char module[] = "libwisteriavane-entry-module.so";
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	char *elsewhere = g_dir_make_tmp("wisteriavane-XXXXXX", NULL);
+	char *copy = g_build_filename(elsewhere, "entry", NULL);
+	char *program = link_to_build(fixture->dir, "entry", copy);
+	char *library = link_to_build(fixture->dir, module,
+	    WV_BUILD_DIR "/libwisteriavane-entry-module.so");
+	char *content = NULL;
+	char *argv[] = {program, (char *)"--help", NULL};
+	gsize length;
+	int status = -1;
+
+	g_assert_true(g_file_get_contents(
+	    WV_BUILD_DIR "/wisteriavane-entry", &content, &length, NULL));
+	g_assert_true(g_file_set_contents(copy, content, (gssize)length, NULL));
+	g_assert_cmpint(g_chmod(copy, 0700), ==, 0);
+	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_STDOUT_TO_DEV_NULL,
+	    NULL, NULL, NULL, NULL, &status, NULL));
+	g_assert_cmpint(status, ==, 0);
+	g_unlink(copy);
+	g_unlink(program);
+	g_unlink(library);
+	g_rmdir(elsewhere);
+	g_free(content);
+	g_free(copy);
+	g_free(program);
+	g_free(library);
+	g_free(elsewhere);
+	fixture_destroy(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -372,5 +421,7 @@
 	g_test_add_func("/start-obstacles/shared-output-stays-blocking",
 	    test_shared_output_stays_blocking);
 	g_test_add_func("/start-obstacles/log-file-full", test_log_file_full);
+	g_test_add_func(
+	    "/start-obstacles/module-beside-link", test_module_beside_link);
 	return g_test_run();
 }
