Open settings only if they are a regular file

With a pipe in place of the settings file, open() held the process before its signals were unblocked: SIGTERM stayed pending and only SIGKILL ended it. Such a file is now waited for, as one that is missing. test_start_obstacles (settings-are-a-pipe) covers it.

--- a/entry/settings.c
+++ b/entry/settings.c
@@ -4,6 +4,7 @@
  */
 #include <stddef.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include "entry/settings.h"
 #include "entry/socket.h"
@@ -179,20 +180,37 @@
 	return settings;
 }
 
+/*
+ * Reads a file; false and a fault if that fails. Only a regular file is opened:
+ * a pipe could make the process wait without end.
+ */
+static bool
+read_file(const char *file, struct wv_string *content, GPtrArray *faults)
+{
+	GError *error = NULL;
+	struct stat status;
+
+	if (stat(file, &status) == 0 && !S_ISREG(status.st_mode)) {
+		g_ptr_array_add(
+		    faults, g_strdup_printf("%s: not a regular file", file));
+		return false;
+	}
+	if (g_file_get_contents(file, &content->data, &content->length, &error))
+		return true;
+	g_ptr_array_add(faults, g_strdup(error->message));
+	g_error_free(error);
+	return false;
+}
+
 struct entry_settings *
 entry_settings_read(const char *file, GPtrArray *faults, bool *whole)
 {
 	struct entry_settings *settings = NULL;
 	struct wv_string json = {NULL, 0};
-	GError *error = NULL;
 	JsonNode *root = NULL;
 
-	if (g_file_get_contents(file, &json.data, &json.length, &error)) {
+	if (read_file(file, &json, faults))
 		root = parse_object(json, faults);
-	} else {
-		g_ptr_array_add(faults, g_strdup(error->message));
-		g_error_free(error);
-	}
 	if (whole != NULL)
 		*whole = root != NULL;
 	if (root != NULL) {
--- a/test/test_start_obstacles.c
+++ b/test/test_start_obstacles.c
@@ -198,6 +198,25 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * A pipe where the settings should be must not hold the process where no signal
+ * can stop it.
+ */
+static void
+test_settings_are_a_pipe(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+
+	prepare_vm(fixture, 0);
+	g_unlink(vm->settings);
+	g_assert_cmpint(mkfifo(vm->settings, 0600), ==, 0);
+	spawn_vm(fixture, 0);
+	g_assert_true(wait_logged(fixture, vm, "not a regular file"));
+	stop_vm(fixture, vm);
+	fixture_destroy(fixture);
+}
+
 /* A stop that is requested while the settings are missing is a planned stop. */
 static void
 test_stop_without_settings(void)
@@ -416,6 +435,8 @@
 	    "{\"vm\":\"vm0\",\"zone\":\"z", test_settings_late);
 	g_test_add_func("/start-obstacles/stop-without-settings",
 	    test_stop_without_settings);
+	g_test_add_func(
+	    "/start-obstacles/settings-are-a-pipe", test_settings_are_a_pipe);
 	g_test_add_func("/start-obstacles/wrong-setting", test_wrong_setting);
 	g_test_add_func("/start-obstacles/closed-streams", test_closed_streams);
 	g_test_add_func("/start-obstacles/shared-output-stays-blocking",
