Release contracts and settings of a daemon that is stopped while it starts

A stop before the components had started left both allocated. The process is about to end, but a sanitized daemon ended with exit code 1 (65,976 bytes in 11 allocations, reported by build-address/test_daemon_start, terminate-while-loading). They are now released where they were created.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -115,8 +115,6 @@
 		worker_destroy(daemon->workers[i]);
 	g_free(daemon->workers);
 	routing_publish(&daemon->routing, NULL);
-	wv_contract_table_destroy(daemon->contracts);
-	wv_settings_destroy(daemon->settings);
 }
 
 static struct wv_http_server *
@@ -248,6 +246,8 @@
 	atomic_init(&daemon->accepting_requests, true);
 	daemon_register_thread();
 	result = serve(daemon);
+	wv_contract_table_destroy(daemon->contracts);
+	wv_settings_destroy(daemon->settings);
 	g_free(daemon);
 	apr_terminate();
 	return result;
