Log each reason for which a start waits

start_waits named the first reason only, so that settings that were missing and then wrong JSON, or a port in use behind an address that is not configured, looked like the obstacle that was gone. /retry/other-reason covers it.

--- a/entry/retry.c
+++ b/entry/retry.c
@@ -21,6 +21,7 @@
 	unsigned attempts;
 	wv_msec started_at; /* first attempt, monotonic, ms */
 	wv_msec pause; /* before the next attempt, ms */
+	GString *reason; /* of the last failure, as logged */
 	bool ended; /* done, or failed for good */
 };
 
@@ -62,8 +63,10 @@
 		retry->ops->failed(retry->data);
 		return;
 	}
-	if (retry->attempts == 1)
+	if (!g_string_equal(reason, retry->reason)) {
+		g_string_assign(retry->reason, reason->str);
 		log_failure(retry, "start_waits", reason);
+	}
 	schedule(retry);
 }
 
@@ -107,6 +110,7 @@
 	retry->log = log;
 	retry->clock = clock;
 	retry->pause = MIN_PAUSE;
+	retry->reason = g_string_new(NULL);
 	retry->timer = event_new(base, -1, 0, on_timer, retry);
 	return retry;
 }
@@ -117,5 +121,6 @@
 	if (retry == NULL)
 		return;
 	event_free(retry->timer);
+	g_string_free(retry->reason, TRUE);
 	g_free(retry);
 }
--- a/entry/retry.h
+++ b/entry/retry.h
@@ -2,7 +2,7 @@
  * @file
  * Repeats a step of a start until it succeeds, with growing pauses.
  *
- * The first failure and the success after it are logged.
+ * The first failure, each one for another reason, and the success are logged.
  */
 #ifndef WISTERIAVANE_ENTRY_RETRY_H
 #define WISTERIAVANE_ENTRY_RETRY_H
--- a/test/test_retry.c
+++ b/test/test_retry.c
@@ -20,6 +20,7 @@
 	int output[2]; /* of the log */
 	enum retry_result failure; /* result of attempts that fail */
 	unsigned failures; /* attempts that fail */
+	unsigned other_reasons; /* the first of them, for another reason */
 	unsigned attempts;
 	unsigned given_up;
 	wv_msec at[8]; /* time of each attempt */
@@ -36,7 +37,9 @@
 		event_base_loopbreak(fixture->base);
 		return RETRY_DONE;
 	}
-	g_string_append(reason, "in \"use\"");
+	g_string_append(reason,
+	    fixture->attempts <= fixture->other_reasons ? "missing"
+							: "in \"use\"");
 	return fixture->failure;
 }
 
@@ -104,6 +107,22 @@
 	g_free(log);
 }
 
+/* A wait whose reason changes must not hide the reason that remains. */
+static void
+test_other_reason(void)
+{
+	struct fixture fixture = {
+	    .failure = RETRY_LATER, .failures = 4, .other_reasons = 2};
+	char *log = run_step(&fixture, &required);
+	char **parts = g_strsplit(log, "start_waits", -1);
+
+	g_assert_cmpuint(g_strv_length(parts), ==, 3);
+	g_assert_nonnull(strstr(parts[1], "\"reason\":\"missing\""));
+	g_assert_nonnull(strstr(parts[2], "\"reason\":\"in ?use?\""));
+	g_strfreev(parts);
+	g_free(log);
+}
+
 /* A step that succeeds at once leaves no line. */
 static void
 test_at_once(void)
@@ -147,6 +166,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/retry/later", test_later);
+	g_test_add_func("/retry/other-reason", test_other_reason);
 	g_test_add_func("/retry/at-once", test_at_once);
 	g_test_add_func("/retry/never", test_never);
 	g_test_add_func("/retry/optional", test_optional);
