Tell an event loop that fails from a planned stop

If the loop ended by a failure, the process exited with 0 and no line, as after a stop that was asked for. It now logs failed and exits with 1. A start that can't listen on a required address no longer logs started after start_failed. By reading; no run that makes the loop fail.

--- a/entry/main.c
+++ b/entry/main.c
@@ -211,6 +211,8 @@
 	process->listeners =
 	    listeners_create(entry, on_address_failed, process);
 	reload_start(process->reload);
+	if (process->exit_code != EXIT_SUCCESS)
+		return;
 	log_line(entry->log, LOG_CHANGE, "started",
 	    "\"zone\":\"%s\",\"callers\":\"%s\",\"incarnation\":"
 	    "%" G_GUINT64_FORMAT,
@@ -320,6 +322,19 @@
 	event_base_free(entry->base);
 }
 
+/* An event loop that fails ends without a stop that was asked for. */
+static void
+check_end(struct process *process)
+{
+	struct entry *entry = &process->entry;
+
+	if (entry->stopping || process->exit_code != EXIT_SUCCESS)
+		return;
+	process->exit_code = EXIT_FAILURE;
+	log_line(entry->log, LOG_CHANGE, "failed",
+	    "\"reason\":\"the event loop ended\"");
+}
+
 static int
 run(const char *file)
 {
@@ -332,6 +347,7 @@
 		event_base_dispatch(process.entry.base);
 	/* A second signal must not interrupt the cleanup. */
 	block_signals(true);
+	check_end(&process);
 	process_clear(&process);
 	return process.exit_code;
 }
