--- a/test/test_soak_launch.c
+++ b/test/test_soak_launch.c
@@ -150,8 +150,9 @@
 	char *go;
 
 	set_up(&fixture,
-	    "#!/bin/sh\nwhile [ ! -e \"$0.go\" ]; do sleep 0.01; done\n"
-	    "trap : HUP\nwhile :; do sleep 0.01; done\n");
+	    "#!/bin/sh\nfor i in $(seq 500); do [ -e \"$0.go\" ] && break\n"
+	    "sleep 0.01; done\ntrap : HUP\n"
+	    "for i in $(seq 500); do sleep 0.01; done\n");
 	go = g_strdup_printf("%s.go", fixture.program);
 	start(&fixture);
 	run_for(&fixture, 10 * WAIT_INTERVAL);
