Keep stand-ins alive without standard streams

A stand-in whose standard streams were closed, or whose reader had left, was ended by SIGPIPE at its first line; with closed streams, descriptors 0 to 2 became sockets.

standin_prepare(), before standin_block_signals(), ignores SIGPIPE too and opens the closed streams by the function of the servers' launcher, now in launch/standard_streams.h.

Both cases of test_standin_streams failed before (the process had ended) and pass now. test_start_signals, test_daemon_start, test_follow, test_settings, test_message, test_ports, test_processes and test_process_faults pass.

--- a/launch/main.c
+++ b/launch/main.c
@@ -9,13 +9,12 @@
  * executable is linked to them. This one needs the C library only.
  */
 #include <dlfcn.h>
-#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <unistd.h>
 
 #include "launch/server_main.h"
+#include "launch/standard_streams.h"
 
 /** Signals that ask for a stop or a reload; the server handles them. */
 static const int handled_signals[] = {SIGHUP, SIGINT, SIGTERM};
@@ -51,22 +50,6 @@
 	}
 }
 
-/*
- * Opens /dev/null as each standard stream that is closed: otherwise the next
- * descriptors that are opened would become standard streams.
- */
-static void
-open_standard_streams(void)
-{
-	int fd;
-
-	do
-		fd = open("/dev/null", O_RDWR);
-	while (fd >= 0 && fd <= STDERR_FILENO);
-	if (fd >= 0)
-		close(fd);
-}
-
 int
 main(int argc, char **argv)
 {
--- a/standin/common/standin.c
+++ b/standin/common/standin.c
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "launch/standard_streams.h"
 #include "standin/common/standin.h"
 
 /** Maximum body, bytes: fits a value of 1 MB that is escaped as JSON. */
@@ -125,10 +126,12 @@
 }
 
 void
-standin_block_signals(void)
+standin_prepare(void)
 {
 	sigset_t set;
 
+	open_standard_streams();
+	signal(SIGPIPE, SIG_IGN);
 	get_termination_signals(&set);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 }
--- a/standin/common/standin.h
+++ b/standin/common/standin.h
@@ -26,9 +26,10 @@
 
 /**
  * Blocks SIGINT and SIGTERM, so that only standin_wait_and_exit() receives
- * them. Must be called before the first thread is started.
+ * them, ignores SIGPIPE, and opens the standard streams that are closed. Must
+ * be called before the first thread is started and before anything is opened.
  */
-void standin_block_signals(void);
+void standin_prepare(void);
 
 /** Waits for SIGINT or SIGTERM and ends the process with exit code 0. */
 void standin_wait_and_exit(void);
--- a/standin/searcher.c
+++ b/standin/searcher.c
@@ -148,7 +148,7 @@
 	struct searcher_group *group;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
-	standin_block_signals();
+	standin_prepare();
 	group = searcher_group_create(&options.config, options.seed);
 	for (unsigned int i = 0; i < MIN(options.count, MAX_SEARCHERS); i++) {
 		char *address = address_of(options.listen, i);
--- a/standin/store.c
+++ b/standin/store.c
@@ -565,7 +565,7 @@
 	wv_msec now = standin_now();
 
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
-	standin_block_signals();
+	standin_prepare();
 	store->handler.ops = &ops;
 	store->timer = standin_timer_create();
 	g_mutex_init(&store->lock);
--- a/standin/vmlist.c
+++ b/standin/vmlist.c
@@ -242,7 +242,7 @@
 	struct vm_list *list = g_new0(struct vm_list, 1);
 
 	argp_parse(&argp, argc, argv, 0, NULL, &options);
-	standin_block_signals();
+	standin_prepare();
 	list->handler.ops = &ops;
 	list->timer = standin_timer_create();
 	g_mutex_init(&list->lock);
