Bound the number of VMs that are remembered

Reports between VMs are not authenticated, and each new name in one added an entry for two minutes. At most 16,384 VMs are remembered now; known ones stay known.

/peers/bounded failed before (20,002 VMs) and passes.

--- a/src/peers.c
+++ b/src/peers.c
@@ -31,6 +31,11 @@
 #define PREFERRED_QUOTA 0.7
 /** Time for which a VM that failed a call comes after the others, ms. */
 #define CALL_FAILURE_PERIOD 3000.0
+/**
+ * Largest number of VMs that are remembered. Reports are not authenticated, so
+ * the names in them must not take memory and time without end.
+ */
+#define MAX_PEERS 16384
 /** VMs that watch the store; the others receive changes from them. */
 #define MAX_WATCHERS 3
 
@@ -90,12 +95,13 @@
 	*string = wv_string_copy(value);
 }
 
+/* Returns the VM of a name; NULL if it is not known and there are too many. */
 static struct peer *
 find_or_add(struct wv_peers *peers, wv_msec now, struct wv_string name)
 {
 	struct peer *peer = g_hash_table_lookup(peers->table, &name);
 
-	if (peer != NULL)
+	if (peer != NULL || g_hash_table_size(peers->table) >= MAX_PEERS)
 		return peer;
 	peer = g_new0(struct peer, 1);
 	peer->name = wv_string_copy(name);
@@ -119,7 +125,7 @@
 	if (wv_string_equal(entry->name, peers->own_name))
 		return;
 	peer = find_or_add(peers, now, entry->name);
-	if (peer_is_alive(peer, now))
+	if (peer == NULL || peer_is_alive(peer, now))
 		return;
 	if (!wv_string_equal(peer->address, entry->address)) {
 		peer->asked_at = WV_MSEC_NEVER;
@@ -211,6 +217,8 @@
 	if (wv_string_equal(report->name, peers->own_name))
 		return false;
 	peer = find_or_add(peers, now, report->name);
+	if (peer == NULL)
+		return false;
 	/* A new process looks older if the clock of its VM was set back. */
 	if (is_stale(peer, report) && peer->heard_at == peer->last_seen &&
 	    peer_is_alive(peer, now))
@@ -253,6 +261,8 @@
 	if (wv_string_equal(hub->name, peers->own_name))
 		return;
 	peer = find_or_add(peers, now, hub->name);
+	if (peer == NULL)
+		return;
 	/* A new process looks older if the clock of its VM was set back. */
 	if (!is_stale(peer, hub) || !peer_is_alive(peer, now)) {
 		copy_state(peer, hub);
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -61,6 +61,30 @@
 	wv_peers_destroy(peers);
 }
 
+/*
+ * Reports with ever new names, which anybody can send, must not make the table
+ * grow without end; VMs that are known stay known.
+ */
+static void
+test_bounded(void)
+{
+	struct wv_peers *peers = create_peers(wv_string_borrow("me"), 1);
+	struct wv_peer_report known = make_report("known", 1);
+
+	g_assert_true(wv_peers_apply_report(peers, 0, &known));
+	for (unsigned i = 0; i < 20000; i++) {
+		char *name = g_strdup_printf("forged-%u", i);
+		struct wv_peer_report report = make_report(name, 1);
+
+		wv_peers_apply_report(peers, 0, &report);
+		g_free(name);
+	}
+	g_assert_cmpuint(wv_peers_get_role(peers, 10, false).vms, <=, 16385);
+	known.sequence = 2;
+	g_assert_true(wv_peers_apply_report(peers, 20, &known));
+	wv_peers_destroy(peers);
+}
+
 static void
 test_leaving(void)
 {
@@ -384,6 +408,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/peers/alive", test_alive);
+	g_test_add_func("/peers/bounded", test_bounded);
 	g_test_add_func("/peers/leaving", test_leaving);
 	g_test_add_func("/peers/clock-back", test_clock_set_back);
 	g_test_add_func("/peers/failed-call", test_failed_call);
