Use no searcher whose identifier can't stand in a header field

The identifier of a searcher's entry is sent to it with each request. One with a line end, from another writer's entry, would have begun another field or request. Such an entry names no searcher now (searcher_unreadable, objects_unreadable).

/entry-hostile/identifier-with-line-end failed before and passes.

--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -41,6 +41,34 @@
 	    searcher->started);
 }
 
+/* Forgets the searcher of an entry that names none that can be used. */
+static void
+reject_searcher(
+    struct entry *entry, const struct store_object *object, const char *why)
+{
+	char name[LOG_NAME_SIZE];
+
+	wv_counter_add(&entry->metrics.objects_unreadable, 1);
+	wv_registry_remove(entry->registry, entry_now(entry), object->name);
+	log_line(entry->log, LOG_CHANGE, "searcher_unreadable",
+	    "\"searcher\":\"%s\",\"why\":\"%s\"",
+	    log_escape(object->name, name, sizeof(name)), why);
+}
+
+/*
+ * Returns whether an identifier can stand in a header field: a line end in it
+ * would begin another field, or another request.
+ */
+static bool
+is_header_text(struct wv_string id)
+{
+	for (size_t i = 0; i < id.length; i++) {
+		if (!g_ascii_isprint(id.data[i]))
+			return false;
+	}
+	return true;
+}
+
 static void
 apply_searcher(struct entry *entry, const struct store_object *object)
 {
@@ -57,12 +85,11 @@
 		return;
 	}
 	if (!entry->adapter->decode_searcher(object, &searcher, &status)) {
-		wv_counter_add(&entry->metrics.objects_unreadable, 1);
-		wv_registry_remove(entry->registry, now, object->name);
-		log_line(entry->log, LOG_CHANGE, "searcher_unreadable",
-		    "\"searcher\":\"%s\",\"why\":\"%s\"",
-		    log_escape(object->name, name, sizeof(name)),
-		    status.message);
+		reject_searcher(entry, object, status.message);
+		return;
+	}
+	if (!is_header_text(searcher.id)) {
+		reject_searcher(entry, object, "not an identifier");
 		return;
 	}
 	if (wv_registry_update(entry->registry, now, &searcher))
