--- a/launch/main.c
+++ b/launch/main.c
@@ -65,11 +65,13 @@
 static void *
 load_module(void)
 {
-	const char *executable = (const char *)getauxval(AT_EXECFN);
+	unsigned long value = getauxval(AT_EXECFN);
 	void *module = dlopen(WV_SERVER_MODULE, RTLD_LAZY);
+	const char *executable;
 	const char *slash;
 	char path[PATH_MAX];
 
+	memcpy(&executable, &value, sizeof(executable));
 	if (module != NULL || executable == NULL || getauxval(AT_SECURE) != 0)
 		return module;
 	slash = strrchr(executable, '/');
