--- a/entry/listeners.c
+++ b/entry/listeners.c
@@ -37,7 +37,7 @@
 
 /* Returns whether an attempt to open an address may succeed later. */
 static bool
-can_pass(int error)
+may_succeed_later(int error)
 {
 	return error != EACCES && error != EPERM && error != EINVAL &&
 	    error != EAFNOSUPPORT;
@@ -55,7 +55,7 @@
 	if (open)
 		return RETRY_DONE;
 	g_string_printf(reason, "%s: %s", listener->address, g_strerror(error));
-	return can_pass(error) ? RETRY_LATER : RETRY_NEVER;
+	return may_succeed_later(error) ? RETRY_LATER : RETRY_NEVER;
 }
 
 static void
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -2,12 +2,10 @@
  * @file
  * Repeats a step of a start until it succeeds.
  */
+#include "daemon/pause.h"
 #include "entry/retry.h"
 #include "entry/socket.h"
 
-/** Pause after the first failure, and the longest one, ms. */
-#define MIN_PAUSE 20.0
-#define MAX_PAUSE 1000.0
 /** Size of the buffer for a reason in a log line, bytes with the NUL. */
 #define LOG_TEXT_SIZE 200
 
@@ -20,7 +18,7 @@
 	struct event *timer;
 	unsigned attempts;
 	wv_msec started_at; /* first attempt, monotonic, ms */
-	wv_msec pause; /* before the next attempt, ms */
+	struct pause pause; /* before the next attempt */
 	GString *reason; /* of the last failure, as logged */
 	bool ended; /* done, or failed for good */
 };
@@ -47,10 +45,9 @@
 static void
 schedule(struct retry *retry)
 {
-	struct timeval time = socket_timeval(retry->pause);
+	struct timeval time = socket_timeval(pause_next(&retry->pause));
 
 	event_add(retry->timer, &time);
-	retry->pause = MIN(2 * retry->pause, MAX_PAUSE);
 }
 
 static void
@@ -109,7 +106,6 @@
 	retry->name = name;
 	retry->log = log;
 	retry->clock = clock;
-	retry->pause = MIN_PAUSE;
 	retry->reason = g_string_new(NULL);
 	retry->timer = event_new(base, -1, 0, on_timer, retry);
 	return retry;
