Pause accepting whenever no idle connection can yield

Whether accepting pauses after accept() failed depended on errno, which logging and the search for an idle connection may have changed since. Found by reading; a changed errno would have let the event loop call accept() again at once.

--- a/entry/server.c
+++ b/entry/server.c
@@ -684,13 +684,18 @@
 accept_conn(struct server *server)
 {
 	int fd = accept(server->fd, NULL, NULL);
+	int error;
 
 	if (fd >= 0 || !is_shortage(errno))
 		return fd;
-	note_shortage(server, errno);
-	report_shortage(server, SERVER_ACCEPT_FAILED, errno);
-	if (yield_idle(server))
-		fd = accept(server->fd, NULL, NULL);
+	error = errno;
+	note_shortage(server, error);
+	report_shortage(server, SERVER_ACCEPT_FAILED, error);
+	if (!yield_idle(server)) {
+		pause_accepting(server, ACCEPT_PAUSE);
+		return -1;
+	}
+	fd = accept(server->fd, NULL, NULL);
 	if (fd < 0 && is_shortage(errno))
 		pause_accepting(server, ACCEPT_PAUSE);
 	return fd;
