Free the ports that the soak holds when it says so

The server waited rightly. The connection is now reset, so that the port is free when the obstacle ends. What a VM's own connections can do to another VM's port that way is listed as open.

--- a/soak/obstacles.c
+++ b/soak/obstacles.c
@@ -96,11 +96,17 @@
 	return fd;
 }
 
+/*
+ * Frees a held port. The connection of HOLD_CONNECT is reset: after an orderly
+ * close, the kernel would keep the port in use for another minute (TIME_WAIT).
+ */
 static void
 release_port(struct action *action)
 {
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
 	struct holder *holder = action->data;
 
+	setsockopt(holder->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(holder->fd);
 	soak_vm_end_obstacle(action->soak, holder->vm);
 	g_free(holder);
