--- a/entry/settings.c
+++ b/entry/settings.c
@@ -46,7 +46,7 @@
     NUMBER(retry_ratio, 0, 10),
     NUMBER(retry_slack, 0, 1e6),
     NUMBER(retry_window_s, 0.1, 3600),
-    NUMBER(stop_s, 0.5, 3600),
+    NUMBER(stop_s, 0, 3600),
     NUMBER(address_lifetime_s, 0.1, 3600),
 };
 
--- a/test/test_entry_settings.c
+++ b/test/test_entry_settings.c
@@ -77,6 +77,24 @@
 	g_free(name);
 }
 
+/* A VM whose platform ends processes without a delay must be able to start. */
+static void
+test_stop_without_delay(void)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	GString *text = g_string_new(VALID);
+	struct entry_settings *settings;
+
+	g_string_replace(text, "\"stop_s\":6", "\"stop_s\":0", 1);
+	settings = entry_settings_parse(
+	    (struct wv_string){text->str, text->len}, faults);
+	g_assert_nonnull(settings);
+	g_assert_cmpfloat(settings->stop_s, ==, 0);
+	entry_settings_destroy(settings);
+	g_ptr_array_unref(faults);
+	g_string_free(text, TRUE);
+}
+
 /* All faults are reported, not just the first. */
 static void
 test_all_faults(void)
@@ -132,6 +150,8 @@
 	g_test_add_func("/entry-settings/faults", test_faults);
 	g_test_add_func("/entry-settings/all", test_all_faults);
 	g_test_add_func("/entry-settings/names", test_names);
+	g_test_add_func(
+	    "/entry-settings/stop-without-delay", test_stop_without_delay);
 	g_test_add_func("/entry-settings/update", test_update);
 	return g_test_run();
 }
