Start a copy of the executable without its module too

What operators would see: wisteriavane-entry copied alone to a machine, or run from a view of the files that lacks the module, ends with code 1 and "cannot open shared object file". Until the servers became modules, the executable alone was enough.

Cause: the code of a server is in a second file, looked for beside the executable.

Change: the executable contains a copy of the module. If no file is found, the copy is written to a file in memory and loaded from there.

Test /start-obstacles/executable-alone: before, no order was served; now it passes. /start-obstacles/module-beside-link would now pass with the copy in memory as well; so it reads from the loader's report that the file beside the link was loaded, as strict as before.

--- a/launch/main.c
+++ b/launch/main.c
@@ -16,6 +16,7 @@
 #include <string.h>
 #include <sys/auxv.h>
 
+#include "launch/embedded_module.h"
 #include "launch/server_main.h"
 #include "launch/standard_streams.h"
 
@@ -63,7 +64,7 @@
  * that was executed serves there, unless the process has gained privileges.
  */
 static void *
-load_module(void)
+load_module_file(void)
 {
 	unsigned long value = getauxval(AT_EXECFN);
 	void *module = dlopen(WV_SERVER_MODULE, RTLD_LAZY);
@@ -82,10 +83,23 @@
 	return dlopen(path, RTLD_LAZY);
 }
 
+/*
+ * Loads the module. The file is preferred to the copy in the executable, since
+ * processes share its pages.
+ */
+static void *
+load_module(void)
+{
+	void *module = load_module_file();
+
+	return module != NULL ? module : embedded_module_load();
+}
+
 int
 main(int argc, char **argv)
 {
 	server_main_fn *run = NULL;
+	const char *error;
 	void *module;
 
 	block_handled_signals();
@@ -95,7 +109,9 @@
 	if (module != NULL)
 		*(void **)&run = dlsym(module, SERVER_MAIN_SYMBOL);
 	if (run == NULL) {
-		fprintf(stderr, "%s\n", dlerror());
+		error = dlerror();
+		fprintf(stderr, "%s\n",
+		    error != NULL ? error : "the module can't be loaded");
 		return EXIT_FAILURE;
 	}
 	return run(argc, argv);
--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -60,6 +60,7 @@
 	struct event_base *base;
 	struct event *timer; /* end of run_for() */
 	char *dir; /* of settings and logs */
+	const char *program; /* executable of the VMs */
 	char *store_address; /* IP:PORT of the store itself */
 	struct standin_store *store;
 	struct standin_searchers *searchers;
@@ -153,6 +154,7 @@
 	struct standin_searcher_config shape = {
 	    N_SERVICES, N_REPLICAS, 4, work};
 
+	fixture->program = WV_BUILD_DIR "/wisteriavane-entry";
 	fixture->base = event_base_new();
 	fixture->timer =
 	    event_new(fixture->base, -1, 0, on_time, fixture->base);
@@ -267,9 +269,8 @@
 
 	g_subprocess_launcher_set_child_setup(launcher, setup, data, NULL);
 	g_subprocess_launcher_set_stdout_file_path(launcher, vm->log);
-	vm->process = g_subprocess_launcher_spawn(launcher, NULL,
-	    WV_BUILD_DIR "/wisteriavane-entry", "--settings", vm->settings,
-	    NULL);
+	vm->process = g_subprocess_launcher_spawn(
+	    launcher, NULL, fixture->program, "--settings", vm->settings, NULL);
 	g_assert_nonnull(vm->process);
 	g_object_unref(launcher);
 	fixture->n_vms = MAX(fixture->n_vms, i + 1);
--- a/test/test_start_obstacles.c
+++ b/test/test_start_obstacles.c
@@ -360,6 +360,41 @@
 	return link;
 }
 
+/* Copies the executable to a path. */
+static void
+copy_executable(const char *path)
+{
+	char *content = NULL;
+	gsize length;
+
+	g_assert_true(g_file_get_contents(
+	    WV_BUILD_DIR "/wisteriavane-entry", &content, &length, NULL));
+	g_assert_true(g_file_set_contents(path, content, (gssize)length, NULL));
+	g_assert_cmpint(g_chmod(path, 0700), ==, 0);
+	g_free(content);
+}
+
+/*
+ * Runs a program with --help and returns what its loader reports, owned by the
+ * caller.
+ */
+static char *
+report_loaded_files(char *program)
+{
+	char *argv[] = {program, (char *)"--help", NULL};
+	char **environment =
+	    g_environ_setenv(g_get_environ(), "LD_DEBUG", "files", TRUE);
+	char *report = NULL;
+	int status = -1;
+
+	g_assert_true(
+	    g_spawn_sync(NULL, argv, environment, G_SPAWN_STDOUT_TO_DEV_NULL,
+		NULL, NULL, NULL, &report, &status, NULL));
+	g_assert_cmpint(status, ==, 0);
+	g_strfreev(environment);
+	return report;
+}
+
 /*
  * The loader may not find the directory of the executable, for instance without
  * /proc: here, the executable is elsewhere. The module beside the path that was
@@ -375,23 +410,18 @@
 	char *program = link_to_build(fixture->dir, "entry", copy);
 	char *library = link_to_build(fixture->dir, module,
 	    WV_BUILD_DIR "/libwisteriavane-entry-module.so");
-	char *content = NULL;
-	char *argv[] = {program, (char *)"--help", NULL};
-	gsize length;
-	int status = -1;
+	char *expected = g_strdup_printf("calling init: %s", library);
+	char *report;
 
-	g_assert_true(g_file_get_contents(
-	    WV_BUILD_DIR "/wisteriavane-entry", &content, &length, NULL));
-	g_assert_true(g_file_set_contents(copy, content, (gssize)length, NULL));
-	g_assert_cmpint(g_chmod(copy, 0700), ==, 0);
-	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_STDOUT_TO_DEV_NULL,
-	    NULL, NULL, NULL, NULL, &status, NULL));
-	g_assert_cmpint(status, ==, 0);
+	copy_executable(copy);
+	report = report_loaded_files(program);
+	g_assert_nonnull(strstr(report, expected));
 	g_unlink(copy);
 	g_unlink(program);
 	g_unlink(library);
 	g_rmdir(elsewhere);
-	g_free(content);
+	g_free(report);
+	g_free(expected);
 	g_free(copy);
 	g_free(program);
 	g_free(library);
@@ -399,6 +429,24 @@
 	fixture_destroy(fixture);
 }
 
+/* A copy of the executable without the module beside it must serve too. */
+static void
+test_executable_alone(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	char *program = g_build_filename(fixture->dir, "entry", NULL);
+
+	copy_executable(program);
+	fixture->program = program;
+	open_store(fixture);
+	start_vm_number(fixture, 0);
+	g_assert_true(wait_served(fixture));
+	stop_vm(fixture, &fixture->vms[0]);
+	g_unlink(program);
+	fixture_destroy(fixture);
+	g_free(program);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -437,6 +485,8 @@
 	    test_stop_without_settings);
 	g_test_add_func(
 	    "/start-obstacles/settings-are-a-pipe", test_settings_are_a_pipe);
+	g_test_add_func(
+	    "/start-obstacles/executable-alone", test_executable_alone);
 	g_test_add_func("/start-obstacles/wrong-setting", test_wrong_setting);
 	g_test_add_func("/start-obstacles/closed-streams", test_closed_streams);
 	g_test_add_func("/start-obstacles/shared-output-stays-blocking",
