Show the log of a VM that did not log an expected text

The output did not show what the VM logged, nor whether it ran, so the cause is open. The tests of entry servers now show both.

--- a/test/entry_fixture.h
+++ b/test/entry_fixture.h
@@ -350,7 +350,32 @@
 	return found;
 }
 
-/* Waits until a VM has logged a text; returns false after a time, ms. */
+/*
+ * Shows a VM's log, with the state of its process, for a text that it did not
+ * log in time. A process that has ended without being waited for is a zombie.
+ */
+static inline void
+show_log(const struct vm *vm, const char *text)
+{
+	const char *id = g_subprocess_get_identifier(vm->process);
+	char *file = g_strdup_printf("/proc/%s/stat", id != NULL ? id : "0");
+	char *state = NULL;
+	char *log = NULL;
+
+	g_file_get_contents(file, &state, NULL, NULL);
+	g_file_get_contents(vm->log, &log, NULL, NULL);
+	g_test_message("not logged: %s\n%s\n%s", text,
+	    state != NULL ? state : "process has ended",
+	    log != NULL ? log : "no log");
+	g_free(file);
+	g_free(state);
+	g_free(log);
+}
+
+/*
+ * Waits until a VM has logged a text; returns false, and shows the log, after a
+ * time, ms.
+ */
 static inline bool
 wait_logged_within(
     struct fixture *fixture, const struct vm *vm, const char *text, int time)
@@ -360,6 +385,7 @@
 			return true;
 		run_for(fixture, CHECK_INTERVAL);
 	}
+	show_log(vm, text);
 	return false;
 }
 
