Move the tests with few descriptors into files of their own

test/limited_vm.h has what starts an entry server with few descriptors and measures it; test_entry_outgoing is for its connections to searchers. The tests themselves are unchanged; /entry-limits/no-outgoing is now /entry-outgoing/no-descriptor.

--- a/test/test_entry_limits.c
+++ b/test/test_entry_limits.c
@@ -5,29 +5,13 @@
  * busy, end the process, cut requests in progress, or stop other kinds.
  */
 #include <errno.h>
-#include <sys/resource.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "entry/server.h"
 #include "entry/shares.h"
-#include "test/entry_fixture.h"
+#include "test/limited_vm.h"
 
-/** Descriptors of a VM in these tests, and connections that exceed them. */
-#define DESCRIPTORS 64
+/** Connections that exceed the descriptors of a VM. */
 #define N_FLOOD 80
-/** Time over which the processor time of a VM is measured, ms. */
-#define MEASURED_TIME 1000
-/** Largest processor time within it, ms; a busy loop takes all of it. */
-#define MAX_PROCESSOR_TIME 300
-/** Longest time until a shortage is reported as ended, ms. */
-#define SHORTAGE_TIME 5000
-/** Descriptors of a process whose limit is lowered below what it has open. */
-#define LOWERED_DESCRIPTORS 8
-/** Longest time until a request that can't run is refused, ms. */
-#define MAX_REFUSAL_TIME 500
-/** Longest time until requests are served after a shortage, ms. */
-#define MAX_RECOVERY_TIME 3000
 /**
  * Connections with large bodies, the part of a body that is sent, bytes, and
  * the peak memory of a VM, kB: its buffers of 32 MB, and what it needs anyway.
@@ -73,40 +57,6 @@
 	g_assert_cmpuint(unlimited.callers, ==, platform.callers);
 }
 
-/* Runs in the child before it becomes a VM with few descriptors. */
-static void
-limit_descriptors(void *data)
-{
-	struct rlimit limit = {DESCRIPTORS, DESCRIPTORS};
-
-	prepare_child(data);
-	setrlimit(RLIMIT_NOFILE, &limit);
-}
-
-/* Changes the limit on the descriptors of a VM that runs. */
-static void
-set_limit(const struct vm *vm, rlim_t descriptors)
-{
-	struct rlimit limit = {descriptors, DESCRIPTORS};
-	pid_t pid = (pid_t)atoi(g_subprocess_get_identifier(vm->process));
-
-	g_assert_cmpint(prlimit(pid, RLIMIT_NOFILE, &limit, NULL), ==, 0);
-}
-
-/* Starts a store and a VM with few descriptors that can serve. */
-static struct fixture *
-create_limited(double work)
-{
-	struct fixture *fixture = fixture_create(work);
-
-	open_store(fixture);
-	prepare_vm(fixture, 0);
-	spawn_vm_with(fixture, 0, limit_descriptors, NULL);
-	g_assert_true(
-	    wait_logged(fixture, &fixture->vms[0], "\"store_watching\""));
-	return fixture;
-}
-
 /* Returns the address of VM 0's readiness; the caller owns it. */
 static char *
 readiness_address(const struct fixture *fixture)
@@ -129,68 +79,6 @@
 	return status;
 }
 
-/* Returns the status of an order over a new connection. */
-static unsigned
-send_order(struct fixture *fixture, const char *id)
-{
-	char *order = compose_order(id);
-	GString *body = g_string_new(NULL);
-	unsigned status =
-	    exchange_bytes(fixture, fixture->vms[0].callers, order, body);
-
-	g_string_free(body, TRUE);
-	g_free(order);
-	return status;
-}
-
-/* Waits until a VM serves an order. */
-static bool
-wait_served(struct fixture *fixture)
-{
-	for (int i = 0; i < MAX_RECOVERY_TIME / CHECK_INTERVAL; i++) {
-		char *id = g_strdup_printf("again-%d", i);
-		bool served = send_order(fixture, id) == 200;
-
-		g_free(id);
-		if (served)
-			return true;
-		run_for(fixture, CHECK_INTERVAL);
-	}
-	return false;
-}
-
-/* Returns the processor time that a VM has used, ms. */
-static double
-processor_time(const struct vm *vm)
-{
-	char *path = g_strdup_printf(
-	    "/proc/%s/stat", g_subprocess_get_identifier(vm->process));
-	char *content = NULL;
-	char **fields;
-	double ticks;
-
-	g_assert_true(g_file_get_contents(path, &content, NULL, NULL));
-	/* The fields after the name begin with the third; 14 and 15 follow. */
-	fields = g_strsplit(strrchr(content, ')') + 2, " ", 14);
-	ticks = (double)(strtoul(fields[11], NULL, 10) +
-	    strtoul(fields[12], NULL, 10));
-	g_strfreev(fields);
-	g_free(content);
-	g_free(path);
-	return ticks * 1000 / (double)sysconf(_SC_CLK_TCK);
-}
-
-/* Asserts that a VM hands back the processor while nothing is asked of it. */
-static void
-check_not_busy(struct fixture *fixture)
-{
-	double before = processor_time(&fixture->vms[0]);
-
-	run_for(fixture, MEASURED_TIME);
-	g_assert_cmpfloat(
-	    processor_time(&fixture->vms[0]) - before, <, MAX_PROCESSOR_TIME);
-}
-
 /* Opens connections, each after a moment, and sends the same bytes on each. */
 static void
 open_flood(struct fixture *fixture, int fds[N_FLOOD], const char *bytes)
@@ -321,42 +209,6 @@
 	fixture_destroy(fixture);
 }
 
-/*
- * No descriptor for a connection to a searcher: an order over an established
- * connection is answered at once as not run, the process does not spin on
- * attempts, and serves when it can again.
- */
-static void
-test_no_outgoing(void)
-{
-	struct fixture *fixture = create_limited(WORK_TIME);
-	struct vm *vm = &fixture->vms[0];
-	char *order = compose_order("order-1");
-	GString *body = g_string_new(NULL);
-	struct exchange exchange = {fixture->base, 0, body};
-	struct client *client =
-	    client_create(fixture->base, vm->callers, &ops, &exchange);
-	gint64 start;
-
-	run_for(fixture, CHECK_INTERVAL);
-	set_limit(vm, LOWERED_DESCRIPTORS);
-	start = g_get_monotonic_time();
-	client_send(client, wv_string_borrow(order), false);
-	run_for(fixture, MAX_ANSWER_TIME);
-	g_assert_cmpuint(exchange.status, ==, 503);
-	g_assert_cmpint(
-	    g_get_monotonic_time() - start, <, MAX_REFUSAL_TIME * 1000);
-	g_assert_true(wait_logged(fixture, vm, "\"end\":\"not_sent\""));
-	check_not_busy(fixture);
-	set_limit(vm, DESCRIPTORS);
-	g_assert_true(wait_served(fixture));
-	client_destroy(client);
-	stop_vm(fixture, vm);
-	g_string_free(body, TRUE);
-	g_free(order);
-	fixture_destroy(fixture);
-}
-
 /* Returns the peak memory of a VM's process, kB. */
 static unsigned
 peak_memory(const struct vm *vm)
@@ -590,7 +442,6 @@
 	g_test_add_func(
 	    "/entry-limits/request-in-progress", test_request_in_progress);
 	g_test_add_func("/entry-limits/accept-fails", test_accept_fails);
-	g_test_add_func("/entry-limits/no-outgoing", test_no_outgoing);
 	g_test_add_func(
 	    "/entry-limits/large-half-requests", test_large_half_requests);
 	g_test_add_func("/entry-limits/unread-answers", test_unread_answers);
