Limit the connections to searchers by their share

What callers would see: when idle connections to some searchers have the last descriptors, requests for another one are refused (503) until those time out, seconds later. Connections to searchers were not limited at all, so that many at once take the descriptors of other VMs, readiness and the store's calls.

Cause: shares_divide() computed a share for outgoing connections that nothing applied, and a pooled connection was closed only by its age or by its searcher.

Change: connections to searchers are counted. At the end of their share, or when socket() fails for want of descriptors or memory, the connection that has been idle longest, of all searchers, is closed. If none is idle, the attempt ends as "not sent" from the event loop, without a copy of the request, and the dispatcher goes on as with a searcher that can't be reached: another one, then a refusal as not run. Three connections of the share are kept for the calls of the store and of other VMs, which use one each for routes, searchers and VMs. A connection is now closed before its failed attempt is reported, as the next attempt may need its descriptor.

--- a/entry/client.c
+++ b/entry/client.c
@@ -25,6 +25,7 @@
 
 struct client {
 	int fd; /* -1 if the socket could not be opened */
+	int error; /* errno value if so, else 0 */
 	const struct client_ops *ops;
 	void *data;
 	struct event *read;
@@ -275,6 +276,7 @@
 	struct client *client = g_new0(struct client, 1);
 
 	client->fd = socket_connect(address);
+	client->error = client->fd < 0 ? errno : 0;
 	client->ops = ops;
 	client->data = data;
 	client->out = g_string_new(NULL);
@@ -330,6 +332,12 @@
 	}
 }
 
+int
+client_error(const struct client *client)
+{
+	return client->error;
+}
+
 bool
 client_is_unsent(const struct client *client)
 {
--- a/entry/client.h
+++ b/entry/client.h
@@ -80,6 +80,12 @@
  */
 void client_send(struct client *client, struct wv_string request, bool no_body);
 
+/**
+ * Returns the errno value with which the socket could not be opened or
+ * connected at once, or 0.
+ */
+int client_error(const struct client *client);
+
 /** Returns whether no byte of the request has been sent. */
 bool client_is_unsent(const struct client *client);
 
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -21,6 +21,7 @@
 #include "wisteriavane/peers.h"
 
 struct gateway;
+struct upstream;
 struct store_sync;
 struct reports;
 struct reload;
@@ -40,6 +41,7 @@
 	struct wv_peers *peers;
 	struct wv_routes *routes; /**< newest version; NULL: none yet */
 	struct gateway *gateway; /**< serves the callers' requests */
+	struct upstream *upstream; /**< connections to searchers */
 	struct store_sync *store; /**< copies state from the store */
 	struct reports *reports; /**< datagrams to and from other VMs */
 	struct server *address_server; /**< lists VMs for callers */
@@ -77,8 +79,8 @@
 void entry_update_limits(struct entry *entry);
 
 /**
- * Limits the connections of each server by its share of the descriptors that
- * the process may open, and records shortages.
+ * Limits the connections of each server, and those to searchers, by their share
+ * of the descriptors that the process may open, and records shortages.
  */
 void entry_limit_connections(struct entry *entry);
 
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -595,6 +595,7 @@
 	    wv_string_borrow(entry->settings->zone), &gateway->registry_ops);
 	entry->dispatch = wv_dispatch_create(
 	    entry->registry, &gateway->ops, entry->incarnation);
+	entry->upstream = upstream_create(entry);
 	gateway->timer = event_new(entry->base, -1, 0, on_timer, gateway);
 	gateway->server =
 	    server_create_closed(entry->base, &server_ops, gateway);
@@ -640,5 +641,6 @@
 	event_free(gateway->timer);
 	wv_dispatch_destroy(entry->dispatch);
 	wv_registry_destroy(entry->registry);
+	upstream_destroy(entry->upstream);
 	g_free(gateway);
 }
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -34,6 +34,8 @@
 	X(connections_opened) /* to searchers */             \
 	X(connections_yielded) /* idle ones, to new ones */  \
 	X(accepts_failed) /* no descriptor or memory */      \
+	X(outgoing_yielded) /* idle ones to searchers */     \
+	X(outgoing_refused) /* attempts, for want of one */  \
 	X(answers_cut) /* unread, buffers were full */       \
 	X(store_calls)                                       \
 	X(store_failures)                                    \
--- a/entry/shares.h
+++ b/entry/shares.h
@@ -17,6 +17,7 @@
 	size_t metrics;
 	size_t changes; /**< from other VMs */
 	size_t outgoing; /**< to searchers, the store and other VMs */
+	size_t searchers; /**< to searchers, part of `outgoing` */
 };
 
 /**
--- a/entry/shortage.c
+++ b/entry/shortage.c
@@ -1,11 +1,14 @@
 /**
  * @file
- * Limits on the connections of a VM's servers, and records of shortages.
+ * Limits on the connections of a VM's servers and on those to searchers, and
+ * records of shortages.
  */
 #include <sys/resource.h>
 
-#include "entry/entry.h"
 #include "entry/shares.h"
+#include "entry/shortage.h"
+#include "entry/socket.h"
+#include "entry/upstream.h"
 
 /**
  * Bytes that the servers buffer: for callers, for other VMs, and for address
@@ -18,6 +21,75 @@
 #define MAX_BUFFERED_MINOR (2u << 20)
 /** Bytes of requests that are being sent to searchers. */
 #define MAX_REQUESTS_BYTES (24u << 20)
+/** Time without a shortage of connections after which it is over, ms. */
+#define SHORTAGE_END 1000
+
+struct shortage {
+	struct entry *entry;
+	struct event *end; /* checks whether the shortage is over */
+	bool reported;
+	bool seen; /* since the last check */
+};
+
+static void
+on_end(evutil_socket_t fd, short what, void *data)
+{
+	struct timeval time = socket_timeval(SHORTAGE_END);
+	struct shortage *shortage = data;
+	struct entry *entry = shortage->entry;
+
+	(void)fd;
+	(void)what;
+	if (shortage->seen) {
+		shortage->seen = false;
+		event_add(shortage->end, &time);
+		return;
+	}
+	shortage->reported = false;
+	log_line(entry->log, LOG_CHANGE, "connections_uncrowded",
+	    "\"server\":\"searchers\",\"yielded\":%" G_GUINT64_FORMAT
+	    ",\"refused\":%" G_GUINT64_FORMAT,
+	    wv_counter_read(&entry->metrics.outgoing_yielded),
+	    wv_counter_read(&entry->metrics.outgoing_refused));
+}
+
+struct shortage *
+shortage_create(struct entry *entry)
+{
+	struct shortage *shortage = g_new0(struct shortage, 1);
+
+	shortage->entry = entry;
+	shortage->end = event_new(entry->base, -1, 0, on_end, shortage);
+	return shortage;
+}
+
+void
+shortage_destroy(struct shortage *shortage)
+{
+	event_free(shortage->end);
+	g_free(shortage);
+}
+
+static void
+log_crowded(struct entry *entry, const char *server, int error)
+{
+	log_line(entry->log, LOG_CHANGE, "connections_crowded",
+	    "\"server\":\"%s\",\"error\":\"%s\"", server,
+	    error == 0 ? "" : g_strerror(error));
+}
+
+void
+shortage_note(struct shortage *shortage, int error)
+{
+	struct timeval time = socket_timeval(SHORTAGE_END);
+
+	shortage->seen = true;
+	if (shortage->reported)
+		return;
+	shortage->reported = true;
+	event_add(shortage->end, &time);
+	log_crowded(shortage->entry, "searchers", error);
+}
 
 /* Returns what a server serves, for log lines. */
 static const char *
@@ -50,9 +122,7 @@
 		wv_counter_add(&entry->metrics.answers_cut, 1);
 		break;
 	case SERVER_CROWDED:
-		log_line(entry->log, LOG_CHANGE, "connections_crowded",
-		    "\"server\":\"%s\",\"error\":\"%s\"", name,
-		    error == 0 ? "" : g_strerror(error));
+		log_crowded(entry, name, error);
 		break;
 	case SERVER_UNCROWDED:
 		log_line(entry->log, LOG_CHANGE, "connections_uncrowded",
@@ -93,8 +163,10 @@
 	    entry, entry->metrics_server, shares.metrics, MAX_BUFFERED_MINOR);
 	limit_server(
 	    entry, entry->change_server, shares.changes, MAX_BUFFERED_CHANGES);
+	upstream_set_max_conns(entry->upstream, shares.searchers);
 	entry->answer_memory.max_requests = MAX_REQUESTS_BYTES;
 	log_line(entry->log, LOG_CHANGE, "connections_limited",
-	    "\"descriptors\":%" G_GUINT64_FORMAT ",\"callers\":%zu",
-	    (uint64_t)limit.rlim_cur, shares.callers);
+	    "\"descriptors\":%" G_GUINT64_FORMAT
+	    ",\"callers\":%zu,\"searchers\":%zu",
+	    (uint64_t)limit.rlim_cur, shares.callers, shares.searchers);
 }
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -5,10 +5,12 @@
  * An attempt uses a connection alone until its answer is complete. A connection
  * is reused only after a complete answer to its own request.
  */
+#include <errno.h>
 #include <math.h>
 
 #include "entry/client.h"
 #include "entry/searcher_answer.h"
+#include "entry/shortage.h"
 #include "entry/socket.h"
 #include "entry/upstream.h"
 
@@ -31,6 +33,15 @@
 /** Timeout for establishing a connection, ms. */
 #define CONNECT_TIMEOUT 400.0
 
+struct upstream {
+	struct entry *entry;
+	GQueue idle; /* struct connection of all searchers, the longest idle
+			first */
+	size_t n_conns; /* connections with a client */
+	size_t max_conns;
+	struct shortage *shortage;
+};
+
 /* Idle connections of a searcher. */
 struct pool {
 	GQueue idle; /* struct connection, the last used first */
@@ -39,19 +50,49 @@
 /* A connection to a searcher: idle in its pool or used by an attempt. */
 struct connection {
 	struct entry *entry;
-	struct client *client;
-	struct event *timer; /* connect timeout */
+	GList in_pool; /* in the pool's queue; valid while idle */
+	GList in_idle; /* in the queue of all idle ones; valid while idle */
+	struct client *client; /* NULL: there was no connection left */
+	struct event *timer; /* ends an attempt without a connection */
 	struct wv_searcher *searcher; /* valid while idle or in use */
 	struct wv_attempt *attempt; /* NULL while idle */
 	char *id; /* owned: the caller's identifier of the request */
 	wv_msec idle_since; /* monotonic, ms; valid while idle */
 };
 
+struct upstream *
+upstream_create(struct entry *entry)
+{
+	struct upstream *upstream = g_new0(struct upstream, 1);
+
+	upstream->entry = entry;
+	upstream->max_conns = SIZE_MAX;
+	upstream->shortage = shortage_create(entry);
+	return upstream;
+}
+
+void
+upstream_destroy(struct upstream *upstream)
+{
+	shortage_destroy(upstream->shortage);
+	g_free(upstream);
+}
+
+void
+upstream_set_max_conns(struct upstream *upstream, size_t max_conns)
+{
+	upstream->max_conns = max_conns;
+}
+
+/* Closes a connection that is not idle. */
 static void
 connection_destroy(struct connection *conn)
 {
 	event_free(conn->timer);
-	client_destroy(conn->client);
+	if (conn->client != NULL) {
+		client_destroy(conn->client);
+		conn->entry->upstream->n_conns--;
+	}
 	g_free(conn->id);
 	g_free(conn);
 }
@@ -65,12 +106,39 @@
 	return searcher->link;
 }
 
+static void
+add_idle(struct connection *conn)
+{
+	conn->in_pool.data = conn;
+	conn->in_idle.data = conn;
+	g_queue_push_head_link(&get_pool(conn->searcher)->idle, &conn->in_pool);
+	g_queue_push_tail_link(&conn->entry->upstream->idle, &conn->in_idle);
+}
+
+static void
+remove_idle(struct connection *conn)
+{
+	g_queue_unlink(&get_pool(conn->searcher)->idle, &conn->in_pool);
+	g_queue_unlink(&conn->entry->upstream->idle, &conn->in_idle);
+}
+
+/* Returns the connection of a searcher that was used last, or NULL. */
+static struct connection *
+take_idle(struct wv_searcher *searcher)
+{
+	struct connection *conn = g_queue_peek_head(&get_pool(searcher)->idle);
+
+	if (conn != NULL)
+		remove_idle(conn);
+	return conn;
+}
+
 static void
 close_idle(struct wv_searcher *searcher)
 {
 	struct connection *conn;
 
-	while ((conn = g_queue_pop_head(&get_pool(searcher)->idle)) != NULL)
+	while ((conn = take_idle(searcher)) != NULL)
 		connection_destroy(conn);
 }
 
@@ -84,14 +152,17 @@
 	searcher->link = NULL;
 }
 
-/* Reports the end of a connection's attempt to the dispatcher. */
+/*
+ * Closes a connection and reports the end of its attempt to the dispatcher,
+ * which may send another attempt that needs the descriptor.
+ */
 static void
-report_reply(struct connection *conn, const struct wv_reply *reply)
+end_attempt(struct connection *conn, const struct wv_reply *reply)
 {
 	struct wv_attempt *attempt = conn->attempt;
 	struct entry *entry = conn->entry;
 
-	conn->attempt = NULL;
+	connection_destroy(conn);
 	attempt->link = NULL;
 	wv_dispatch_reply(entry->dispatch, entry_now(entry), attempt, reply);
 	entry_schedule_tick(entry);
@@ -108,7 +179,7 @@
 		return;
 	}
 	conn->idle_since = entry_now(conn->entry);
-	g_queue_push_head(&get_pool(searcher)->idle, conn);
+	add_idle(conn);
 }
 
 /*
@@ -205,7 +276,7 @@
 	struct wv_reply reply = {.end = WV_END_BROKEN};
 
 	if (conn->attempt == NULL) {
-		g_queue_remove(&get_pool(conn->searcher)->idle, conn);
+		remove_idle(conn);
 		connection_destroy(conn);
 		return;
 	}
@@ -213,24 +284,92 @@
 		reply.end = WV_END_NOT_SENT;
 	else
 		close_idle(conn->searcher);
-	report_reply(conn, &reply);
-	connection_destroy(conn);
+	end_attempt(conn, &reply);
 }
 
 static const struct client_ops ops = {on_answer, on_end};
 
+/* Ends an attempt that got no connection, or not in time. */
 static void
-on_connect_timeout(evutil_socket_t fd, short what, void *data)
+on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct connection *conn = data;
 	struct wv_reply reply = {.end = WV_END_NOT_SENT};
 
 	(void)fd;
 	(void)what;
-	if (conn->attempt == NULL || client_is_connected(conn->client))
-		return;
-	report_reply(conn, &reply);
+	if (conn->client == NULL || !client_is_connected(conn->client))
+		end_attempt(conn, &reply);
+}
+
+/* Returns whether an error says that the process or the system has no more. */
+static bool
+is_shortage(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	    error == ENOMEM;
+}
+
+/* Begins to connect; returns NULL with an errno value if nothing is left. */
+static struct client *
+connect_client(struct connection *conn, int *error)
+{
+	struct entry *entry = conn->entry;
+	struct client *client = client_create(
+	    entry->base, conn->searcher->address.data, &ops, conn);
+
+	*error = client_error(client);
+	if (is_shortage(*error)) {
+		client_destroy(client);
+		return NULL;
+	}
+	client_limit_memory(client, &entry->answer_memory);
+	wv_counter_add(&entry->metrics.connections_opened, 1);
+	return client;
+}
+
+/*
+ * Closes the connection that has been idle longest, of all searchers. Returns
+ * whether there was one.
+ *
+ * error: errno value of the shortage, or 0 for the end of the share
+ */
+static bool
+yield_idle(struct upstream *upstream, int error)
+{
+	struct connection *conn = g_queue_peek_head(&upstream->idle);
+
+	if (conn == NULL)
+		return false;
+	remove_idle(conn);
 	connection_destroy(conn);
+	wv_counter_add(&upstream->entry->metrics.outgoing_yielded, 1);
+	shortage_note(upstream->shortage, error);
+	return true;
+}
+
+/*
+ * Begins to connect. At the end of the share or of the descriptors, idle
+ * connections yield until there is room; returns NULL if none is left. Several
+ * may have to yield if the process's limit was lowered.
+ */
+static struct client *
+acquire_client(struct connection *conn)
+{
+	struct entry *entry = conn->entry;
+	struct upstream *upstream = entry->upstream;
+	struct client *client = NULL;
+	int error = 0;
+
+	if (upstream->n_conns < upstream->max_conns)
+		client = connect_client(conn, &error);
+	while (client == NULL && yield_idle(upstream, error))
+		client = connect_client(conn, &error);
+	if (client == NULL) {
+		wv_counter_add(&entry->metrics.outgoing_refused, 1);
+		shortage_note(upstream->shortage, error);
+	}
+	return client;
 }
 
 static struct connection *
@@ -241,12 +380,14 @@
 
 	conn->entry = entry;
 	conn->searcher = searcher;
-	conn->client =
-	    client_create(entry->base, searcher->address.data, &ops, conn);
-	client_limit_memory(conn->client, &entry->answer_memory);
-	conn->timer = event_new(entry->base, -1, 0, on_connect_timeout, conn);
+	conn->timer = event_new(entry->base, -1, 0, on_timer, conn);
+	conn->client = acquire_client(conn);
+	if (conn->client == NULL) {
+		event_active(conn->timer, EV_TIMEOUT, 0);
+		return conn;
+	}
+	entry->upstream->n_conns++;
 	event_add(conn->timer, &time);
-	wv_counter_add(&entry->metrics.connections_opened, 1);
 	return conn;
 }
 
@@ -261,13 +402,16 @@
 	return idempotent ? limit : fmin(limit, MAX_IDLE_NON_IDEMPOTENT);
 }
 
-/* Returns an idle connection that may be reused, or a new one. */
+/*
+ * Returns an idle connection that may be reused, or a new one, whose client is
+ * NULL if nothing is left for it.
+ */
 static struct connection *
 acquire_connection(struct entry *entry, struct wv_attempt *attempt)
 {
 	struct wv_searcher *searcher = attempt->searcher;
 	wv_msec now = entry_now(entry);
-	struct connection *conn = g_queue_pop_head(&get_pool(searcher)->idle);
+	struct connection *conn = take_idle(searcher);
 
 	if (conn == NULL)
 		return open_connection(entry, searcher);
@@ -303,8 +447,7 @@
     const struct upstream_request *request)
 {
 	struct connection *conn = acquire_connection(entry, attempt);
-	GString *bytes = compose_request(entry, attempt, request);
-	struct wv_string text = {bytes->str, bytes->len};
+	GString *bytes;
 
 	g_free(conn->id);
 	conn->id = g_strndup(request->id.data, request->id.length);
@@ -313,7 +456,11 @@
 	wv_counter_add(&entry->metrics.attempts, 1);
 	if (attempt->extra)
 		wv_counter_add(&entry->metrics.attempts_extra, 1);
-	client_send(conn->client, text, request->is_head);
+	if (conn->client == NULL)
+		return;
+	bytes = compose_request(entry, attempt, request);
+	client_send(conn->client, (struct wv_string){bytes->str, bytes->len},
+	    request->is_head);
 	g_string_free(bytes, TRUE);
 }
 
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -16,9 +16,22 @@
 	bool is_head; /**< HEAD: the answer has no body */
 };
 
+/** Creates the connections of a VM to its searchers: none yet. */
+struct upstream *upstream_create(struct entry *entry);
+
+/** Releases them; all attempts and idle connections must have ended. */
+void upstream_destroy(struct upstream *upstream);
+
+/**
+ * Sets how many connections to searchers are kept. When there are as many, the
+ * one that has been idle longest is closed for a new one.
+ */
+void upstream_set_max_conns(struct upstream *upstream, size_t max_conns);
+
 /**
  * Sends an attempt over an idle or a new connection. Its outcome is passed to
- * wv_dispatch_reply().
+ * wv_dispatch_reply(), later from the event loop: WV_END_NOT_SENT if there is
+ * no connection or descriptor left.
  */
 void upstream_send(struct entry *entry, struct wv_attempt *attempt,
     const struct upstream_request *request);
--- a/test/test_entry_limits.c
+++ b/test/test_entry_limits.c
@@ -47,6 +47,8 @@
 		g_assert_cmpuint(shares.metrics, >=, 1);
 		g_assert_cmpuint(shares.changes, >=, 1);
 		g_assert_cmpuint(shares.outgoing, >=, 1);
+		g_assert_cmpuint(shares.searchers, >=, 1);
+		g_assert_cmpuint(shares.searchers, <=, shares.outgoing);
 		if (limit >= DESCRIPTORS)
 			g_assert_cmpuint(sum, <, limit);
 	}
@@ -54,6 +56,9 @@
 	g_assert_cmpuint(platform.changes, >=, 600);
 	g_assert_cmpuint(platform.callers, >=, 1500);
 	g_assert_cmpuint(platform.outgoing, >=, 500);
+	/* The searchers leave a connection for each kind of the store's data.
+	 */
+	g_assert_cmpuint(platform.outgoing - platform.searchers, ==, 3);
 	g_assert_cmpuint(unlimited.callers, ==, platform.callers);
 }
 
