Let connections that are being closed yield to new callers

What callers would see: after its last answer on a connection a server waits for the caller to close it, up to a second. Callers that don't close take up the share: a new caller waits for up to a second, or an idle connection is closed in its place.

Cause: only idle connections yielded; lingering ones count towards the share, and their end was waited for.

Change: lingering connections are kept in a queue of their own and yield first, the one that has lingered longest. Its caller has got the whole answer and the end of the stream; as with an idle one, a connection with unread bytes is spared, since its close would be a reset.

--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -32,7 +32,7 @@
 	X(searchers_resting) /* 503 with Retry-After */      \
 	X(stale_answers) /* to other requests; dropped */    \
 	X(connections_opened) /* to searchers */             \
-	X(connections_yielded) /* idle ones, to new ones */  \
+	X(connections_yielded) /* closed for new ones */     \
 	X(accepts_failed) /* no descriptor or memory */      \
 	X(outgoing_yielded) /* idle ones to searchers */     \
 	X(outgoing_refused) /* attempts, for want of one */  \
--- a/entry/server.c
+++ b/entry/server.c
@@ -60,6 +60,7 @@
 	bool draining;
 	struct server_conn *conns;
 	GQueue idle; /* struct server_conn, the longest idle first */
+	GQueue lingering; /* struct server_conn, the longest first */
 	size_t n_conns;
 	size_t max_conns;
 	bool accept_paused; /* the listener's event is not pending */
@@ -81,7 +82,7 @@
 	struct server_conn *next;
 	struct server_conn *previous;
 	GList link; /* in the queue */
-	GQueue *queue; /* the server's `idle`, its `writing` or NULL */
+	GQueue *queue; /* one of the server's, or NULL */
 	size_t counted; /* bytes of the server's `buffered` */
 	int fd;
 	enum conn_state state;
@@ -211,7 +212,9 @@
 {
 	set_state(conn, CONN_LINGERING);
 	shutdown(conn->fd, SHUT_WR);
+	move_to_queue(conn, &conn->server->lingering);
 	set_timer(conn, LINGER_TIMEOUT);
+	resume_accepting(conn->server);
 }
 
 static void
@@ -608,7 +611,7 @@
 }
 
 /*
- * Stops accepting until a connection closes or becomes idle.
+ * Stops accepting until a connection closes, lingers or becomes idle.
  *
  * time: longest duration, ms; 0: not limited
  */
@@ -632,14 +635,14 @@
 }
 
 /*
- * Closes the connection that has been idle longest. One with unread bytes is
- * spared: they begin a request, which the close would reset. Returns whether a
- * connection was closed.
+ * Closes the first connection of a queue. One with unread bytes is spared: the
+ * close would reset the request that they begin, or an answer that is not read
+ * yet. Returns whether a connection was closed.
  */
 static bool
-yield_idle(struct server *server)
+yield_from(struct server *server, GQueue *queue)
 {
-	GList *link = server->idle.head;
+	GList *link = queue->head;
 
 	for (int i = 0; i < MAX_YIELD_CHECKS && link != NULL; i++) {
 		struct server_conn *conn = link->data;
@@ -647,8 +650,6 @@
 		link = link->next;
 		if (has_unread_bytes(conn))
 			continue;
-		g_queue_unlink(&server->idle, &conn->link);
-		conn->queue = NULL;
 		conn_close(conn);
 		note_shortage(server, 0);
 		report_shortage(server, SERVER_YIELDED, 0);
@@ -657,15 +658,32 @@
 	return false;
 }
 
+/*
+ * Closes a connection for a new one: first one that is only waited for, then
+ * one that is idle. Returns whether there was one.
+ */
+static bool
+yield_conn(struct server *server)
+{
+	return yield_from(server, &server->lingering) ||
+	    yield_from(server, &server->idle);
+}
+
+static bool
+can_yield(const struct server *server)
+{
+	return server->lingering.head != NULL || server->idle.head != NULL;
+}
+
 /*
  * Returns whether a connection may be accepted: one more than the share is, if
- * an idle one can be closed for it then.
+ * another one can be closed for it then.
  */
 static bool
 has_room(const struct server *server)
 {
 	return server->n_conns < server->max_conns ||
-	    (server->n_conns == server->max_conns && server->idle.head != NULL);
+	    (server->n_conns == server->max_conns && can_yield(server));
 }
 
 static bool
@@ -677,7 +695,7 @@
 
 /*
  * Accepts a connection; returns -1 if there is none. If a resource is
- * exhausted, an idle connection yields. The listener's event would fire without
+ * exhausted, another connection yields. The listener's event would fire without
  * end if nothing yields, so accepting pauses then.
  */
 static int
@@ -691,7 +709,7 @@
 	error = errno;
 	note_shortage(server, error);
 	report_shortage(server, SERVER_ACCEPT_FAILED, error);
-	if (!yield_idle(server)) {
+	if (!yield_conn(server)) {
 		pause_accepting(server, ACCEPT_PAUSE);
 		return -1;
 	}
@@ -720,7 +738,7 @@
 		if (fd < 0)
 			return;
 		if (server->n_conns >= server->max_conns)
-			yield_idle(server);
+			yield_conn(server);
 		evutil_make_socket_nonblocking(fd);
 		evutil_make_socket_closeonexec(fd);
 		socket_set_no_delay(fd);
--- a/entry/server.h
+++ b/entry/server.h
@@ -42,12 +42,13 @@
 
 /** What a server does because it lacks descriptors or memory. */
 enum server_shortage {
-	SERVER_YIELDED, /**< an idle connection was closed for a new one */
+	SERVER_YIELDED, /**< an idle or lingering connection was closed for a
+			     new one */
 	SERVER_ACCEPT_FAILED, /**< accept() failed for want of a resource */
 	SERVER_ANSWER_CUT, /**< a caller did not read its answer while the
 			      buffers were full */
 	SERVER_CROWDED, /**< the first of these, or the server does not accept
-			 because no connection is idle */
+			 because no connection can yield */
 	SERVER_UNCROWDED /**< none of this for a second */
 };
 
@@ -101,9 +102,11 @@
     struct server *server, const struct wv_caller_limits *limits);
 
 /**
- * Sets how many connections the server keeps. When there are as many, the
- * connection that has been idle longest is closed for a new one; while none is
- * idle, new ones wait in the kernel's queue. Requests in progress are not cut.
+ * Sets how many connections the server keeps. When there are as many, one is
+ * closed for a new one: the one whose last answer was sent first and that the
+ * caller has not closed yet, else the one that has been idle longest. While
+ * there is neither, new ones wait in the kernel's queue. Requests in progress
+ * are not cut.
  *
  * @param shortage  may be NULL
  * @param data      passed to the callback
--- a/test/test_entry_limits.c
+++ b/test/test_entry_limits.c
@@ -12,6 +12,10 @@
 
 /** Connections that exceed the descriptors of a VM. */
 #define N_FLOOD 80
+/** Connections of a server that lingers on all but one of them. */
+#define N_LINGERING 4
+/** Longest time until a new caller is served then, ms; a linger takes 1000. */
+#define MAX_LINGER_WAIT 500
 /**
  * Connections with large bodies, the part of a body that is sent, bytes, and
  * the peak memory of a VM, kB: its buffers of 32 MB, and what it needs anyway.
@@ -356,6 +360,83 @@
 	fixture_destroy(fixture);
 }
 
+static void
+count_yielded(void *data, const struct server *server,
+    enum server_shortage shortage, int error)
+{
+	unsigned *n_yielded = data;
+
+	(void)server;
+	(void)error;
+	*n_yielded += shortage == SERVER_YIELDED;
+}
+
+/*
+ * Callers don't close the connections after their last answers. They have all
+ * of the share but one connection, on which bytes were sent: a new caller must
+ * not wait for the end of a linger, nor take that connection. The answers stay
+ * readable.
+ */
+static void
+check_lingering(const char *bytes)
+{
+	static const char last[] =
+	    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	char *address = g_strdup_printf("127.0.0.1:%u", fixture->ports[0]);
+	GString *answer = g_string_new("ok");
+	GString *body = g_string_new(NULL);
+	unsigned n_yielded = 0;
+	struct server *server =
+	    server_create(fixture->base, address, &large_ops, answer);
+	int fds[N_LINGERING + 1];
+	gint64 start;
+
+	g_assert_nonnull(server);
+	server_set_max_conns(
+	    server, N_LINGERING + 1, count_yielded, &n_yielded);
+	for (int i = 0; i <= N_LINGERING; i++)
+		fds[i] = socket_connect(address);
+	run_for(fixture, CHECK_INTERVAL);
+	for (int i = 0; i < N_LINGERING; i++)
+		send(fds[i], last, strlen(last), MSG_NOSIGNAL);
+	send(fds[N_LINGERING], bytes, strlen(bytes), MSG_NOSIGNAL);
+	run_for(fixture, CHECK_INTERVAL);
+	start = g_get_monotonic_time();
+	g_assert_cmpuint(exchange_bytes(fixture, address, last, body), ==, 200);
+	g_assert_cmpint(
+	    g_get_monotonic_time() - start, <, MAX_LINGER_WAIT * 1000);
+	g_assert_cmpuint(n_yielded, ==, 1);
+	g_assert_false(is_closed(fds[N_LINGERING]));
+	for (int i = 0; i <= N_LINGERING; i++) {
+		char text[256];
+		ssize_t n = recv(fds[i], text, sizeof(text), MSG_DONTWAIT);
+
+		if (i < N_LINGERING)
+			g_assert_cmpint(n, >, 0);
+		close(fds[i]);
+	}
+	server_destroy(server);
+	g_string_free(answer, TRUE);
+	g_string_free(body, TRUE);
+	g_free(address);
+	fixture_destroy(fixture);
+}
+
+/* None is idle: new callers wait. */
+static void
+test_lingering_or_busy(void)
+{
+	check_lingering("GET / HTTP/1.1\r\nHost");
+}
+
+/* The other connection is idle and must stay open. */
+static void
+test_lingering_or_idle(void)
+{
+	check_lingering("");
+}
+
 /* What became of several requests. */
 struct outcomes {
 	unsigned answered;
@@ -450,6 +531,10 @@
 	g_test_add_func(
 	    "/entry-limits/large-half-requests", test_large_half_requests);
 	g_test_add_func("/entry-limits/unread-answers", test_unread_answers);
+	g_test_add_func(
+	    "/entry-limits/lingering-or-busy", test_lingering_or_busy);
+	g_test_add_func(
+	    "/entry-limits/lingering-or-idle", test_lingering_or_idle);
 	g_test_add_func("/entry-limits/large-requests", test_large_requests);
 	return g_test_run();
 }
