--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -13,6 +13,13 @@
 	"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","            \
 	"\"coldLeftMs\":0,\"sequence\":4,\"born\":1700000000000}"
 
+/**
+ * Objects of a large list, 4.5 MB of text, and how much its decoding may add to
+ * the peak memory, kB; the parsed form of all of them takes 70,000.
+ */
+#define N_LISTED 20000
+#define MAX_ADDED_KB 8192
+
 /* Objects that were decoded from an answer. */
 struct decoded {
 	unsigned n;
@@ -376,16 +383,142 @@
 	}
 }
 
+/* Decodes a text, by itself and after 32 KB of spaces; both must be the same.
+ */
+static void
+check_padded(const char *text)
+{
+	char *padded = g_strdup_printf("%32768s%s", "", text);
+	struct store_page page = {0};
+	struct store_page padded_page = {0};
+	struct decoded decoded = {0};
+	struct decoded padded_decoded = {0};
+
+	g_test_message("%s", text);
+	g_assert_cmpint(decode(text, &page, &decoded), ==,
+	    decode(padded, &padded_page, &padded_decoded));
+	g_assert_cmpuint(decoded.n, ==, padded_decoded.n);
+	g_assert_cmpuint(decoded.valid, ==, padded_decoded.valid);
+	g_assert_cmpuint(decoded.deleted, ==, padded_decoded.deleted);
+	g_assert_cmpstr(decoded.change, ==, padded_decoded.change);
+	g_assert_cmpuint(page.revision, ==, padded_page.revision);
+	g_assert_cmpint(page.more, ==, padded_page.more);
+	g_assert_cmpint(page.after_outage, ==, padded_page.after_outage);
+	g_assert_cmpstr(page.last_name, ==, padded_page.last_name);
+	g_free(page.last_name);
+	g_free(padded_page.last_name);
+	g_free(decoded.change);
+	g_free(padded_decoded.change);
+	g_free(padded);
+}
+
+#define TWO_ITEMS GOOD_ITEM("i-1") "," GOOD_ITEM("i-2")
+#define TWO_EVENTS                                 \
+	"{\"deleted\":true,\"object\":" GOOD_ITEM( \
+	    "i-1") "},"                            \
+		   "{\"deleted\":false,\"object\":" GOOD_ITEM("i-2") "}"
+#define ODD_EVENTS "{\"deleted\":7},4,{\"object\":[]}"
+
+/*
+ * Large lists and changes are parsed object by object, which must find the same
+ * as parsing them as a whole.
+ */
+static void
+test_padded_bodies(void)
+{
+	static const char *const texts[] = {
+	    "{\"items\":[],\"atRev\":3}",
+	    "{\"items\":[" TWO_ITEMS "],\"hasMore\":true,\"atRev\":9}",
+	    "{\"atRev\":9,\"items\":[1,null,{},{\"meta\":{}}," TWO_ITEMS "]}",
+	    "{\"events\":[" TWO_EVENTS "],\"atRev\":5,\"afterOutage\":true}",
+	    "{\"events\":[" ODD_EVENTS "],\"atRev\":5}",
+	    "{\"events\":[],\"atRev\":-1}",
+	    "{\"items\":7}",
+	    "{\"atRev\":3}",
+	    "{\"items\":[" TWO_ITEMS "]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		check_padded(texts[i]);
+}
+
+/* Returns the peak memory of this process, kB. */
+static unsigned
+peak_memory(void)
+{
+	char *content = NULL;
+	unsigned peak;
+
+	g_assert_true(
+	    g_file_get_contents("/proc/self/status", &content, NULL, NULL));
+	peak = (unsigned)strtoul(
+	    strstr(content, "VmHWM:") + strlen("VmHWM:"), NULL, 10);
+	g_free(content);
+	return peak;
+}
+
+static GString *
+compose_large_list(void)
+{
+	GString *text = g_string_new("{\"items\":[");
+
+	for (int i = 0; i < N_LISTED; i++)
+		g_string_append_printf(text,
+		    "%s{\"meta\":{\"name\":\"i-%d\",\"revision\":3},"
+		    "\"spec\":%s}",
+		    i > 0 ? "," : "", i, SEARCHER);
+	g_string_append(text, "],\"hasMore\":true,\"atRev\":9}");
+	return text;
+}
+
+/*
+ * The parsed form of a whole list would exceed the memory of a small VM, which
+ * reads lists of up to 24 MB.
+ */
+static void
+test_large_list(void)
+{
+	struct store_page page = {0};
+	struct decoded decoded = {0};
+	unsigned before;
+	GString *text;
+
+	if (!g_test_subprocess()) {
+		/* The memory is that of a process that has run nothing else. */
+		g_test_trap_subprocess(NULL, 0, 0);
+		g_test_trap_assert_passed();
+		return;
+	}
+	text = compose_large_list();
+	before = peak_memory();
+	g_assert_true(decode(text->str, &page, &decoded));
+	g_assert_cmpuint(peak_memory() - before, <, MAX_ADDED_KB);
+	g_assert_cmpuint(decoded.valid, ==, N_LISTED);
+	g_assert_cmpuint(page.revision, ==, 9);
+	g_assert_true(page.more);
+	g_assert_cmpstr(page.last_name, ==, "i-19999");
+	g_free(decoded.change);
+	g_free(page.last_name);
+	g_string_free(text, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	/*
+	 * The address sanitizer would keep 256 MB of freed memory, which says
+	 * nothing of what the decoding uses.
+	 */
+	g_setenv("ASAN_OPTIONS", "quarantine_size_mb=1", TRUE);
 	g_test_add_func("/dialect/entry", test_entry);
 	g_test_add_func("/dialect/unreadable", test_unreadable);
 	g_test_add_func("/dialect/bodies", test_bodies);
 	g_test_add_func("/dialect/two-bad-texts", test_two_bad_texts);
 	g_test_add_func("/dialect/unreadable-object", test_unreadable_object);
 	g_test_add_func("/dialect/cut-bodies", test_cut_bodies);
+	g_test_add_func("/dialect/large-list", test_large_list);
+	g_test_add_func("/dialect/padded-bodies", test_padded_bodies);
 	g_test_add_func("/dialect/changes", test_changes);
 	g_test_add_func("/dialect/paths", test_paths);
 	g_test_add_func(
