Count and log objects whose names can't be read

An object of a list or of changes whose name is missing, no string, empty or broken was skipped without a line or a count, and so was an entry that is no object: an operator who missed a searcher saw nothing of it.

The decoder counts them, and each answer with such objects gives one line (objects_unnamed) with the kind and the number, and adds it to objects_unreadable. One line an answer bounds the log, however many there are.

The test /entry-store/unnamed-objects failed before for want of the line. In /dialect/bodies a list of unnamed objects was only checked to visit none; this check is in /dialect/unnamed now, with their number, for lists and changes.

--- a/entry/platform_adapter.h
+++ b/entry/platform_adapter.h
@@ -34,7 +34,9 @@
 	bool more; /**< the list has a further page, after last_name */
 	bool after_outage; /**< in answers of VMs: the changes follow an
 			      outage of the store */
-	char *last_name; /**< owned; NULL if there were no objects */
+	char *last_name; /**< owned; NULL if no object has a readable name */
+	unsigned unnamed; /**< entries that were skipped: they are no objects,
+			     or their names can't be read */
 };
 
 /** Registration of a VM in the store. Strings are borrowed. */
@@ -81,6 +83,7 @@
 	char *(*create_path)(enum store_kind kind);
 	/**
 	 * Decodes an answer: a page of a list, a set of changes or one object.
+	 * An object without a readable name is not visited but counted.
 	 *
 	 * @param page  set, on failure too; the caller frees last_name
 	 * @return false if the body is none of these
--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -136,10 +136,30 @@
 	    wv_change_log_revision(follower->changes);
 }
 
+/*
+ * Counts and logs the objects of an answer whose names can't be read. They name
+ * no searcher, routes or VM.
+ */
+static void
+report_unnamed(const struct follower *follower, const struct store_page *page)
+{
+	struct entry *entry = follower->sync->entry;
+
+	if (page->unnamed == 0)
+		return;
+	wv_counter_add(&entry->metrics.objects_unreadable, page->unnamed);
+	log_line(entry->log, LOG_CHANGE, "objects_unnamed",
+	    "\"kind\":\"%s\",\"from\":\"%s\",\"objects\":%u,\"why\":\"no "
+	    "readable name\",\"revision\":%" G_GUINT64_FORMAT,
+	    store_kind_name(follower->kind), follower->address, page->unnamed,
+	    page->revision);
+}
+
 /* Applies an answer's members; returns false for an outdated list. */
 static bool
 apply_page(struct follower *follower, const struct store_page *page)
 {
+	report_unnamed(follower, page);
 	if (store_is_outdated_list(follower)) {
 		log_outdated_answer(follower, "list");
 		return false;
--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -133,10 +133,38 @@
 		if (decode(bad[i], &page, &decoded))
 			g_error("accepted: %s", bad[i]);
 	}
-	g_assert_true(decode("{\"items\":[1,null,{},{\"meta\":{}}],"
-			     "\"atRev\":3}",
-	    &page, &decoded));
-	g_assert_cmpuint(decoded.n, ==, 0);
+}
+
+/*
+ * An object whose name can't be read is not decoded, but counted, both in a
+ * text that the JSON library accepts and in one that it rejects.
+ */
+static void
+test_unnamed(void)
+{
+	static const char *const rest[] = {"", ",{\"meta\":\"\\ud83d\"}"};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(rest); i++) {
+		char *list = g_strdup_printf(
+		    "{\"items\":[1,null,{},{\"meta\":{}},{\"meta\":{\"name\":7}"
+		    "}"
+		    ",{\"meta\":{\"name\":\"\"}}%s],\"atRev\":3}",
+		    rest[i]);
+		char *changes = g_strdup_printf(
+		    "{\"events\":[1,{},{\"object\":null},{\"object\":{}}%s],"
+		    "\"atRev\":3}",
+		    rest[i]);
+		struct store_page page = {0};
+		struct decoded decoded = {0};
+
+		g_assert_true(decode(list, &page, &decoded));
+		g_assert_cmpuint(page.unnamed, ==, 6 + i);
+		g_assert_true(decode(changes, &page, &decoded));
+		g_assert_cmpuint(page.unnamed, ==, 4 + i);
+		g_assert_cmpuint(decoded.n, ==, 0);
+		g_free(changes);
+		g_free(list);
+	}
 }
 
 #define GOOD_ITEM(name) \
@@ -383,6 +411,7 @@
 	g_test_add_func("/dialect/entry", test_entry);
 	g_test_add_func("/dialect/unreadable", test_unreadable);
 	g_test_add_func("/dialect/bodies", test_bodies);
+	g_test_add_func("/dialect/unnamed", test_unnamed);
 	g_test_add_func("/dialect/two-bad-texts", test_two_bad_texts);
 	g_test_add_func("/dialect/unreadable-object", test_unreadable_object);
 	g_test_add_func("/dialect/cut-bodies", test_cut_bodies);
--- a/test/test_entry_store.c
+++ b/test/test_entry_store.c
@@ -97,6 +97,78 @@
 	fixture_destroy(fixture);
 }
 
+#define SEARCHER(name)                                                    \
+	"{\"meta\":{\"name\":\"" name "\"},\"spec\":{\"service\":\"s0\"," \
+	"\"address\":\"127.0.0.1:9\",\"zone\":\"z1\",\"version\":\"v1\"," \
+	"\"slots\":1,\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1}}"
+#define EMPTY_LIST "{\"items\":[],\"hasMore\":false,\"atRev\":5}"
+
+/* Answers to the calls for searchers, in order. */
+static const char *const unnamed_answers[] = {
+    "{\"items\":[" SEARCHER("a") ",{\"meta\":{\"name\":\"\"}}," SEARCHER(
+	"b") ",7],\"hasMore\":true,\"atRev\":5}",
+    "{\"items\":[{\"meta\":{}},{\"meta\":{\"name\":\"\\ud83d\"}}," SEARCHER(
+	"c") "],\"hasMore\":false,\"atRev\":5}",
+    "{\"events\":[{\"object\":{\"meta\":{\"name\":7}}},{\"object\":" SEARCHER(
+	"d") "}],\"atRev\":6}"};
+
+/* A store that gives these answers and keeps further calls waiting. */
+struct unnamed_store {
+	char *searchers_path;
+	unsigned calls; /* for searchers */
+};
+
+static void
+unnamed_request(
+    void *data, struct server_conn *conn, const struct message *message)
+{
+	struct unnamed_store *store = data;
+	struct wv_string target = message_target(message);
+	const char *answer;
+
+	if (!g_str_has_prefix(target.data, store->searchers_path)) {
+		if (strstr(target.data, "watch") == NULL)
+			server_answer(
+			    conn, 200, NULL, wv_string_borrow(EMPTY_LIST));
+		return;
+	}
+	if (store->calls++ >= G_N_ELEMENTS(unnamed_answers))
+		return;
+	answer = unnamed_answers[store->calls - 1];
+	server_answer(conn, 200, NULL, wv_string_borrow(answer));
+}
+
+static const struct server_ops unnamed_ops = {
+    unnamed_request, slow_caller_left, slow_rejected};
+
+/*
+ * Objects whose names can't be read are logged and counted, and hide no other
+ * in lists, pages and changes.
+ */
+static void
+test_unnamed_objects(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	struct unnamed_store store = {
+	    platform_get_adapter()->create_path(STORE_SEARCHERS), 0};
+	struct server *server = server_create(
+	    fixture->base, fixture->store_address, &unnamed_ops, &store);
+
+	start_vm(fixture);
+	/* It waits for a list of VMs that has itself before the others. */
+	g_assert_true(wait_logged_within(
+	    fixture, vm, "\"searchers\":3,\"revision\":5}", EVENT_TIMEOUT));
+	g_assert_true(
+	    has_logged(vm, "\"objects\":2,\"why\":\"no readable name\""));
+	g_assert_true(wait_logged(fixture, vm, "\"searcher\":\"d\""));
+	g_assert_true(
+	    has_logged(vm, "\"objects\":1,\"why\":\"no readable name\""));
+	fixture_destroy(fixture);
+	server_destroy(server);
+	g_free(store.searchers_path);
+}
+
 /* Each kind of outage is logged, and so is its end. */
 static void
 test_store_outages(void)
@@ -137,6 +209,7 @@
 	g_test_add_func(
 	    "/entry-store/entry-before-list", test_entry_before_list);
 	g_test_add_func("/entry-store/bad-objects", test_bad_objects);
+	g_test_add_func("/entry-store/unnamed-objects", test_unnamed_objects);
 	g_test_add_func("/entry-store/store-outages", test_store_outages);
 	return g_test_run();
 }
