Keep searchers when a list can't be continued

A page is requested by the last name of the one before. If no object of a page had a readable name though the list went on, the list counted as complete: every searcher of the later pages was removed, and callers were refused for want of it. A page that ends at the name where it began would have been requested again for ever (by the code; not seen).

Such a list ends with a line (list_cut) now: what was read counts, nothing is taken for missing, and changes are read from the revision of its first page.

--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -42,9 +42,13 @@
 		reports_send(entry->reports);
 }
 
-/* Handles the end of a list. */
+/*
+ * Handles the end of a list.
+ *
+ * whole: whether it was read to its end, so that what is not in it is missing
+ */
 static void
-complete_list(struct follower *follower)
+complete_list(struct follower *follower, bool whole)
 {
 	struct entry *entry = follower->sync->entry;
 
@@ -66,7 +70,8 @@
 	follower->listed = true;
 	if (follower->kind != STORE_SEARCHERS)
 		return;
-	wv_registry_end_list(entry->registry, entry_now(entry));
+	if (whole)
+		wv_registry_end_list(entry->registry, entry_now(entry));
 	entry->searchers_known = true;
 	log_line(entry->log, LOG_CHANGE, "searchers_listed",
 	    "\"searchers\":%zu,\"revision\":%" G_GUINT64_FORMAT,
@@ -86,9 +91,36 @@
 	}
 }
 
+/*
+ * Returns whether no further page of a list can be requested though it has one:
+ * no object of this page has a readable name, or the page ends where it began.
+ */
+static bool
+is_list_cut(const struct follower *follower, const struct store_page *page)
+{
+	return page->more &&
+	    (page->last_name == NULL ||
+		g_strcmp0(page->last_name, follower->list_after) == 0);
+}
+
+static void
+log_cut_list(const struct follower *follower)
+{
+	char after[LOG_NAME_SIZE];
+	const char *name =
+	    follower->list_after == NULL ? "" : follower->list_after;
+
+	log_line(follower->sync->entry->log, LOG_CHANGE, "list_cut",
+	    "\"kind\":\"%s\",\"from\":\"%s\",\"after\":\"%s\"",
+	    store_kind_name(follower->kind), follower->address,
+	    log_escape(wv_string_borrow(name), after, sizeof(after)));
+}
+
 static void
 apply_list_page(struct follower *follower, const struct store_page *page)
 {
+	bool cut = is_list_cut(follower, page);
+
 	/*
 	 * Later pages may have a newer revision. The first one's is kept, so
 	 * that the changes in between are read afterwards.
@@ -96,10 +128,12 @@
 	if (follower->list_after == NULL)
 		wv_change_log_reset(follower->changes, page->revision);
 	copy_listed_objects(follower);
+	if (cut)
+		log_cut_list(follower);
 	g_free(follower->list_after);
 	follower->list_after = g_strdup(page->last_name);
-	if (!page->more || page->last_name == NULL)
-		complete_list(follower);
+	if (!page->more || cut)
+		complete_list(follower, !cut);
 }
 
 static void
--- a/test/test_entry_store.c
+++ b/test/test_entry_store.c
@@ -103,14 +103,16 @@
 	"\"slots\":1,\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1}}"
 #define EMPTY_LIST "{\"items\":[],\"hasMore\":false,\"atRev\":5}"
 
-/* Answers to the calls for searchers, in order. */
+/* Answers to the calls for searchers, in order; NULL: the history is gone. */
 static const char *const unnamed_answers[] = {
     "{\"items\":[" SEARCHER("a") ",{\"meta\":{\"name\":\"\"}}," SEARCHER(
 	"b") ",7],\"hasMore\":true,\"atRev\":5}",
     "{\"items\":[{\"meta\":{}},{\"meta\":{\"name\":\"\\ud83d\"}}," SEARCHER(
 	"c") "],\"hasMore\":false,\"atRev\":5}",
     "{\"events\":[{\"object\":{\"meta\":{\"name\":7}}},{\"object\":" SEARCHER(
-	"d") "}],\"atRev\":6}"};
+	"d") "}],\"atRev\":6}",
+    NULL, "{\"items\":[" SEARCHER("a") "],\"hasMore\":true,\"atRev\":7}",
+    "{\"items\":[{\"meta\":{}}],\"hasMore\":true,\"atRev\":7}"};
 
 /* A store that gives these answers and keeps further calls waiting. */
 struct unnamed_store {
@@ -135,15 +137,20 @@
 	if (store->calls++ >= G_N_ELEMENTS(unnamed_answers))
 		return;
 	answer = unnamed_answers[store->calls - 1];
-	server_answer(conn, 200, NULL, wv_string_borrow(answer));
+	if (answer == NULL)
+		server_answer_text(conn, 410, "gone\n");
+	else
+		server_answer(conn, 200, NULL, wv_string_borrow(answer));
 }
 
 static const struct server_ops unnamed_ops = {
     unnamed_request, slow_caller_left, slow_rejected};
 
 /*
- * Objects whose names can't be read are logged and counted, and hide no other
- * in lists, pages and changes.
+ * Objects whose names can't be read are logged and counted, and hide no other:
+ * not in lists, pages and changes, and not if a page has no other object, so
+ * that the list can't be continued. Then the searchers that were known stay,
+ * and the page is not requested again.
  */
 static void
 test_unnamed_objects(void)
@@ -164,6 +171,11 @@
 	g_assert_true(wait_logged(fixture, vm, "\"searcher\":\"d\""));
 	g_assert_true(
 	    has_logged(vm, "\"objects\":1,\"why\":\"no readable name\""));
+	g_assert_true(wait_logged(fixture, vm, "\"list_cut\""));
+	g_assert_true(
+	    wait_logged(fixture, vm, "\"searchers\":4,\"revision\":7}"));
+	run_for(fixture, 500);
+	g_assert_cmpuint(store.calls, ==, G_N_ELEMENTS(unnamed_answers) + 1);
 	fixture_destroy(fixture);
 	server_destroy(server);
 	g_free(store.searchers_path);
