Log and count entries of VMs that can't be read

The entry of a VM that lacks an address or has a wrong zone was skipped without a line or a count, other than those of searchers and routes: whoever missed the VM among the known ones found no reason. Each gives a line (vm_unreadable) and adds to objects_unreadable now.

The test /entry-store/bad-objects failed before with such an entry in the list.

--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -96,14 +96,28 @@
 		log_searcher(entry, &searcher);
 }
 
+static void
+reject_vm(struct entry *entry, const struct store_object *object)
+{
+	char name[LOG_NAME_SIZE];
+
+	wv_counter_add(&entry->metrics.objects_unreadable, 1);
+	log_line(entry->log, LOG_CHANGE, "vm_unreadable", "\"name\":\"%s\"",
+	    log_escape(object->name, name, sizeof(name)));
+}
+
 static void
 apply_vm(struct follower *follower, const struct store_object *object)
 {
 	struct entry *entry = follower->sync->entry;
 	struct vm_entry vm = {0};
 
-	if (object->deleted || !entry->adapter->decode_vm(object, &vm))
+	if (object->deleted)
 		return;
+	if (!entry->adapter->decode_vm(object, &vm)) {
+		reject_vm(entry, object);
+		return;
+	}
 	if (wv_string_equal(vm.name, wv_string_borrow(entry->settings->vm)) &&
 	    wv_string_equal(vm.peers, wv_string_borrow(entry->settings->peers)))
 		follower->found_self = true;
--- a/test/test_entry_store.c
+++ b/test/test_entry_store.c
@@ -5,6 +5,9 @@
  */
 #include "test/entry_fixture.h"
 
+/** Kind of the registrations of VMs in the store. */
+#define VMS_KIND "wisteriavane-vms"
+
 /* A store that answers the creation of a registration only later. */
 struct slow_store {
 	char *create_path;
@@ -73,8 +76,8 @@
 }
 
 /*
- * Invalid objects are logged. The routes stay as they were, and a searcher with
- * an invalid registration gets no requests.
+ * Invalid objects are logged. The routes stay as they were, a searcher with an
+ * invalid registration gets no requests, and a VM with one is not reported to.
  */
 static void
 test_bad_objects(void)
@@ -83,8 +86,12 @@
 	struct vm *vm = &fixture->vms[0];
 
 	open_store(fixture);
+	standin_store_write(
+	    fixture->store, VMS_KIND, "vm-odd", json_object_new());
 	start_vm(fixture);
 	g_assert_true(wait_logged(fixture, vm, "\"store_watching\""));
+	g_assert_true(
+	    wait_logged(fixture, vm, "\"vm_unreadable\",\"name\":\"vm-odd\""));
 	standin_store_write(fixture->store, STANDIN_KIND_ROUTES,
 	    STANDIN_ROUTES_OBJECT, json_object_new());
 	standin_store_write(
