Skip an entry that is no JSON value as a whole

An entry of a list that is neither a string, an object nor an array was taken to end at the first comma or closing bracket, also at one in a string or brackets of its own, as in null"]" or null[1,2]. The list ended there, and the entries after it were hidden: searchers counted as missing.

Such an entry ends at a comma or bracket that belongs to the list now.

The test /dialect/unreadable-object, extended by the two, failed before: 2 of 3 objects were found.

--- a/src/json_text.c
+++ b/src/json_text.c
@@ -81,6 +81,34 @@
 	return true;
 }
 
+/*
+ * Returns the index after text that is no JSON value: it ends at a comma or a
+ * bracket that closes what it stands in. Those in strings and brackets of its
+ * own don't count.
+ */
+static size_t
+skip_token(struct wv_string text, size_t i)
+{
+	size_t depth = 0;
+
+	while (i < text.length) {
+		char c = text.data[i];
+
+		if (depth == 0 && (c == ',' || c == ']' || c == '}'))
+			break;
+		if (c == '"') {
+			i = skip_string(text, i);
+			continue;
+		}
+		if (c == '{' || c == '[')
+			depth++;
+		else if (c == '}' || c == ']')
+			depth--;
+		i++;
+	}
+	return i;
+}
+
 /* Returns the index after the value that starts at index i. */
 static size_t
 skip_value(struct wv_string text, size_t i)
@@ -92,9 +120,7 @@
 		return skip_string(text, i);
 	if (c == '{' || c == '[')
 		return i + skip_first_value(rest);
-	while (i < text.length && strchr(",]}", text.data[i]) == NULL)
-		i++;
-	return i;
+	return skip_token(text, i);
 }
 
 /* Returns whether the text has a character at an index. */
--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -212,7 +212,8 @@
 	char *deep = nest(60000);
 	const char *const specs[] = {"{\"zone\":\"\\ud83d\"}",
 	    "{\"zone\":\"\xff\"}", "{\"zone\":}", "{\"slots\":1e999}",
-	    "{\"zone\":\"z\",\"zone\":\"\\ud83d\"}", deep};
+	    "{\"zone\":\"z\",\"zone\":\"\\ud83d\"}", "null\"]\"", "null[1,2]",
+	    deep};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
 		char *list = g_strdup_printf(
