Take an object with half a surrogate pair for unreadable

The JSON library accepts "\ud830d", half a pair of surrogates that is not at the end of a string, and makes bytes of it that are not UTF-8. As with an infinite number, a VM that read such an object from the store used it and passed it on as text that no other VM could read.

Such an object, or one whose name has it, is unreadable now for all VMs alike.

The test of infinite numbers, renamed to /dialect/not-encodable and extended, failed before: the searcher was accepted.

--- a/test/test_dialect.c
+++ b/test/test_dialect.c
@@ -168,15 +168,16 @@
 }
 
 /*
- * A number that is too large for its type makes its object unreadable for all
- * VMs alike: encoded for another VM it would be no JSON, so that VMs would use
- * different searchers and routes.
+ * A number that is too large for its type, or half a surrogate pair, makes its
+ * object unreadable for all VMs alike: encoded for another VM it would be no
+ * JSON, so that VMs would use different searchers and routes.
  */
 static void
-test_infinite_number(void)
+test_not_encodable(void)
 {
-	static const char *const extra[] = {
-	    "\"x\":1e999,", "\"x\":[{\"y\":-1e999}],"};
+	static const char *const extra[] = {"\"x\":1e999,",
+	    "\"x\":[{\"y\":-1e999}],", "\"x\":\"\\ud830d\",",
+	    "\"\\ud830d\":1,"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(extra); i++) {
 		GString *spec = g_string_new(SEARCHER);
@@ -433,7 +434,7 @@
 	g_test_add_func("/dialect/unreadable", test_unreadable);
 	g_test_add_func("/dialect/bodies", test_bodies);
 	g_test_add_func("/dialect/unnamed", test_unnamed);
-	g_test_add_func("/dialect/infinite-number", test_infinite_number);
+	g_test_add_func("/dialect/not-encodable", test_not_encodable);
 	g_test_add_func("/dialect/two-bad-texts", test_two_bad_texts);
 	g_test_add_func("/dialect/unreadable-object", test_unreadable_object);
 	g_test_add_func("/dialect/cut-bodies", test_cut_bodies);
