Tell other VMs of searchers that say that they are leaving

A searcher that said so to one VM was known as leaving there only: every other VM sent it a request to learn the same, and a request that may run once could meet its end.

The reports carry the newest hints, at most 16: identifier, start of the incarnation, and age. A receiver that has this very incarnation sends a request to it only if no other healthy searcher takes it, and refuses none for a hint, as one may be wrong. A hint keeps its age on its way, is taken up to 30 s after the searcher said so and fades after 60 s; so VMs can't keep one alive among themselves. A report that would be too large is sent without hints.

/entry-vms/leaving-hint failed before: the other VM learned nothing. The tests of hints without network (test_leaving_hints, /dispatch/hinted) need the new functions and can't be built on the code before. The random datagrams of test_entry_hostile have hints, too.

--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -29,6 +29,7 @@
 	X(attempts_not_sent)                                 \
 	X(attempts_wrong_searcher)                           \
 	X(searchers_leaving) /* by their own answers */      \
+	X(searchers_hinted) /* leaving, by other VMs */      \
 	X(searchers_resting) /* 503 with Retry-After */      \
 	X(stale_answers) /* to other requests; dropped */    \
 	X(connections_opened) /* to searchers */             \
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -4,6 +4,7 @@
  * periodically and when the state changes.
  */
 #include <errno.h>
+#include <math.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,9 +17,19 @@
 #define PROTOCOL_VERSION 1
 /** Largest datagram, bytes; the list of all hubs takes most of it. */
 #define MAX_DATAGRAM_BYTES 8192
+/** Hints about leaving searchers in a report, and their longest identifier. */
+#define MAX_HINTS 16
+#define MAX_HINTED_ID 64
 /** Datagrams read in one iteration of the event loop. */
 #define MAX_READS 64
 
+/* Hints about leaving searchers, to be packed. */
+struct packed_hints {
+	size_t n;
+	LeavingHint items[MAX_HINTS];
+	LeavingHint *pointers[MAX_HINTS];
+};
+
 struct reports {
 	struct entry *entry;
 	int fd; /* -1: not open yet */
@@ -75,15 +86,39 @@
 	g_ptr_array_add(data, state);
 }
 
+/* Collects the newest hints about leaving searchers; strings are borrowed. */
+static void
+collect_hints(const struct entry *entry, struct packed_hints *packed)
+{
+	struct wv_leaving_hint hints[MAX_HINTS];
+	size_t n = wv_registry_list_hints(
+	    entry->registry, entry_now(entry), hints, MAX_HINTS);
+
+	packed->n = 0;
+	for (size_t i = 0; i < n; i++) {
+		LeavingHint *item = &packed->items[packed->n];
+
+		if (hints[i].searcher.length > MAX_HINTED_ID)
+			continue;
+		leaving_hint__init(item);
+		item->searcher = hints[i].searcher.data;
+		item->started = hints[i].started;
+		/* Rounded up, so that it does not become younger on its way. */
+		item->age = (uint32_t)ceil(hints[i].age);
+		packed->pointers[packed->n++] = item;
+	}
+}
+
 /*
- * Encodes a report to one VM; returns its length, or 0 if it is too large.
+ * Encodes a report to one VM; returns its length, or 0 if it is too large. The
+ * hints are left out of one that is too large with them.
  *
  * hubs: of this VM's view, VmState
  */
 static size_t
 pack_report(const struct wv_peer_report *own,
     const struct wv_peer_target *target, const GPtrArray *hubs,
-    uint8_t buffer[MAX_DATAGRAM_BYTES])
+    struct packed_hints *hints, uint8_t buffer[MAX_DATAGRAM_BYTES])
 {
 	VmReport report = VM_REPORT__INIT;
 
@@ -109,6 +144,10 @@
 		report.n_hubs = hubs->len;
 		report.hubs = (VmState **)hubs->pdata;
 	}
+	report.n_leaving_searchers = hints->n;
+	report.leaving_searchers = hints->pointers;
+	if (vm_report__get_packed_size(&report) > MAX_DATAGRAM_BYTES)
+		report.n_leaving_searchers = 0;
 	if (vm_report__get_packed_size(&report) > MAX_DATAGRAM_BYTES)
 		return 0;
 	return vm_report__pack(&report, buffer);
@@ -158,11 +197,12 @@
 /* Sends a report to one VM and counts it; returns 0 or an errno value. */
 static int
 send_report(struct reports *reports, const struct wv_peer_report *own,
-    const struct wv_peer_target *target, const GPtrArray *hubs)
+    const struct wv_peer_target *target, const GPtrArray *hubs,
+    struct packed_hints *hints)
 {
 	struct metrics *metrics = &reports->entry->metrics;
 	uint8_t buffer[MAX_DATAGRAM_BYTES];
-	size_t length = pack_report(own, target, hubs, buffer);
+	size_t length = pack_report(own, target, hubs, hints, buffer);
 	int error = send_to(reports, target->address, buffer, length);
 
 	wv_counter_add(
@@ -176,15 +216,17 @@
 {
 	struct entry *entry = reports->entry;
 	GPtrArray *hubs = g_ptr_array_new_with_free_func(g_free);
+	struct packed_hints hints;
 	const char *failed = "";
 	int error = 0;
 
+	collect_hints(entry, &hints);
 	wv_peers_foreach_heard_hub(
 	    entry->peers, entry_now(entry), add_hub, hubs);
 	for (guint i = 0; i < targets->len; i++) {
 		const struct wv_peer_target *target =
 		    &g_array_index(targets, struct wv_peer_target, i);
-		int outcome = send_report(reports, own, target, hubs);
+		int outcome = send_report(reports, own, target, hubs, &hints);
 
 		if (outcome == 0)
 			continue;
@@ -221,9 +263,11 @@
 	struct wv_peer_target target =
 	    wv_peers_answer_introduction(reports->entry->peers, hub);
 	struct wv_peer_report own;
+	struct packed_hints hints;
 
 	compose_own_report(reports, &own);
-	send_report(reports, &own, &target, NULL);
+	collect_hints(reports->entry, &hints);
+	send_report(reports, &own, &target, NULL, &hints);
 }
 
 static void
@@ -251,6 +295,35 @@
 	g_free(hubs);
 }
 
+/* Applies hints about leaving searchers; only so many that a VM sends. */
+static void
+apply_hints(struct reports *reports, const VmReport *packed)
+{
+	struct entry *entry = reports->entry;
+	size_t n = MIN(packed->n_leaving_searchers, MAX_HINTS);
+	char id[LOG_NAME_SIZE];
+	char from[LOG_NAME_SIZE];
+
+	for (size_t i = 0; i < n; i++) {
+		const LeavingHint *item = packed->leaving_searchers[i];
+		struct wv_leaving_hint hint = {
+		    .searcher = wv_string_borrow(item->searcher),
+		    .started = item->started,
+		    .age = item->age};
+
+		if (!wv_registry_add_hint(
+			entry->registry, entry_now(entry), &hint))
+			continue;
+		wv_counter_add(&entry->metrics.searchers_hinted, 1);
+		log_line(entry->log, LOG_CHANGE, "searcher_hinted",
+		    "\"searcher\":\"%s\",\"from\":\"%s\",\"age_ms\":%u",
+		    log_escape(hint.searcher, id, sizeof(id)),
+		    log_escape(
+			wv_string_borrow(packed->name), from, sizeof(from)),
+		    item->age);
+	}
+}
+
 static void
 apply_report(struct reports *reports, const VmReport *packed)
 {
@@ -278,6 +351,7 @@
 		return;
 	if (packed->n_hubs > 0)
 		apply_hubs(reports, packed);
+	apply_hints(reports, packed);
 	if (packed->introduces)
 		answer_introduction(reports, &report);
 	store_sync_compare_revisions(entry->store, &report);
--- a/proto/vm_report.pb-c.c
+++ b/proto/vm_report.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &vm_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   leaving_hint__init
+                     (LeavingHint         *message)
+{
+  static const LeavingHint init_value = LEAVING_HINT__INIT;
+  *message = init_value;
+}
+size_t leaving_hint__get_packed_size
+                     (const LeavingHint *message)
+{
+  assert(message->base.descriptor == &leaving_hint__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t leaving_hint__pack
+                     (const LeavingHint *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &leaving_hint__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t leaving_hint__pack_to_buffer
+                     (const LeavingHint *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &leaving_hint__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+LeavingHint *
+       leaving_hint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (LeavingHint *)
+     protobuf_c_message_unpack (&leaving_hint__descriptor,
+                                allocator, len, data);
+}
+void   leaving_hint__free_unpacked
+                     (LeavingHint *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &leaving_hint__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   vm_report__init
                      (VmReport         *message)
 {
@@ -252,7 +297,71 @@
   (ProtobufCMessageInit) vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor vm_report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor leaving_hint__field_descriptors[3] =
+{
+  {
+    "searcher",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(LeavingHint, searcher),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(LeavingHint, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(LeavingHint, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned leaving_hint__field_indices_by_name[] = {
+  2,   /* field[2] = age */
+  0,   /* field[0] = searcher */
+  1,   /* field[1] = started */
+};
+static const ProtobufCIntRange leaving_hint__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor leaving_hint__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "LeavingHint",
+  "LeavingHint",
+  "LeavingHint",
+  "",
+  sizeof(LeavingHint),
+  3,
+  leaving_hint__field_descriptors,
+  leaving_hint__field_indices_by_name,
+  1,  leaving_hint__number_ranges,
+  (ProtobufCMessageInit) leaving_hint__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor vm_report__field_descriptors[20] =
 {
   {
     "protocol",
@@ -482,6 +591,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_searchers",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(VmReport, n_leaving_searchers),
+    offsetof(VmReport, leaving_searchers),
+    &leaving_hint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned vm_report__field_indices_by_name[] = {
   14,   /* field[14] = attach */
@@ -493,6 +614,7 @@
   17,   /* field[17] = known_view */
   13,   /* field[13] = leaf */
   8,   /* field[8] = leaving */
+  19,   /* field[19] = leaving_searchers */
   1,   /* field[1] = name */
   4,   /* field[4] = peers */
   0,   /* field[0] = protocol */
@@ -507,7 +629,7 @@
 static const ProtobufCIntRange vm_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor vm_report__descriptor =
 {
@@ -517,7 +639,7 @@
   "VmReport",
   "",
   sizeof(VmReport),
-  19,
+  20,
   vm_report__field_descriptors,
   vm_report__field_indices_by_name,
   1,  vm_report__number_ranges,
--- a/proto/vm_report.pb-c.h
+++ b/proto/vm_report.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct VmState VmState;
+typedef struct LeavingHint LeavingHint;
 typedef struct VmReport VmReport;
 
 
@@ -46,6 +47,30 @@
     , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * A searcher that has said that it is leaving, to the VM or to another one.
+ */
+struct  LeavingHint
+{
+  ProtobufCMessage base;
+  /*
+   * identifier
+   */
+  char *searcher;
+  /*
+   * Unix time of the start of its process, ms
+   */
+  uint64_t started;
+  /*
+   * time since it said so, ms
+   */
+  uint32_t age;
+};
+#define LEAVING_HINT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&leaving_hint__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * A VM's periodic report to its peers; each is one datagram.
  */
@@ -127,10 +152,15 @@
    */
   size_t n_hubs;
   VmState **hubs;
+  /*
+   * the newest hints
+   */
+  size_t n_leaving_searchers;
+  LeavingHint **leaving_searchers;
 };
 #define VM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&vm_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* VmState methods */
@@ -152,6 +182,25 @@
 void   vm_state__free_unpacked
                      (VmState *message,
                       ProtobufCAllocator *allocator);
+/* LeavingHint methods */
+void   leaving_hint__init
+                     (LeavingHint         *message);
+size_t leaving_hint__get_packed_size
+                     (const LeavingHint   *message);
+size_t leaving_hint__pack
+                     (const LeavingHint   *message,
+                      uint8_t             *out);
+size_t leaving_hint__pack_to_buffer
+                     (const LeavingHint   *message,
+                      ProtobufCBuffer     *buffer);
+LeavingHint *
+       leaving_hint__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   leaving_hint__free_unpacked
+                     (LeavingHint *message,
+                      ProtobufCAllocator *allocator);
 /* VmReport methods */
 void   vm_report__init
                      (VmReport         *message);
@@ -176,6 +225,9 @@
 typedef void (*VmState_Closure)
                  (const VmState *message,
                   void *closure_data);
+typedef void (*LeavingHint_Closure)
+                 (const LeavingHint *message,
+                  void *closure_data);
 typedef void (*VmReport_Closure)
                  (const VmReport *message,
                   void *closure_data);
@@ -186,6 +238,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor vm_state__descriptor;
+extern const ProtobufCMessageDescriptor leaving_hint__descriptor;
 extern const ProtobufCMessageDescriptor vm_report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/dispatch_pick.c
+++ b/src/dispatch_pick.c
@@ -79,9 +79,12 @@
 struct candidates {
 	struct wv_searcher *best; /* cheapest healthy one, or NULL */
 	struct wv_searcher *in_backoff; /* cheapest one in backoff, or NULL */
+	struct wv_searcher *hinted; /* cheapest healthy one with a hint that it
+				       is leaving, or NULL */
 	struct wv_searcher *probe; /* lost one that is due for a probe */
 	double min_cost; /* cost of best */
 	double min_backoff_cost; /* cost of in_backoff */
+	double min_hinted_cost; /* cost of hinted */
 	bool has_busy; /* a healthy one has no free connection */
 };
 
@@ -116,6 +119,9 @@
 	if (in_backoff)
 		update_cheapest(&candidates->in_backoff,
 		    &candidates->min_backoff_cost, searcher, cost);
+	else if (wv_searcher_is_hinted(searcher, now))
+		update_cheapest(&candidates->hinted,
+		    &candidates->min_hinted_cost, searcher, cost);
 	else
 		update_cheapest(
 		    &candidates->best, &candidates->min_cost, searcher, cost);
@@ -138,6 +144,9 @@
 			add_candidate(dispatch, now, purpose, limit, searcher,
 			    &candidates);
 	}
+	/* A hint may be wrong: no request waits or fails because of it. */
+	if (candidates.best == NULL)
+		candidates.best = candidates.hinted;
 	/*
 	 * Probe a lost searcher if no healthy one can take the request, or with
 	 * an idempotent request that has sent no hedge or retry yet.
--- a/src/registry.c
+++ b/src/registry.c
@@ -2,6 +2,7 @@
  * @file
  * Registry of searchers and services.
  */
+#include "src/leaving_hints.h"
 #include "src/private.h"
 #include "src/statements.h"
 #include "wisteriavane/registry.h"
@@ -16,6 +17,7 @@
 	GHashTable *searchers; /* by id; values are not owned */
 	GHashTable *services; /* by name; values are owned */
 	struct statements *statements; /* owned */
+	struct leaving_hints *hints; /* owned */
 	GHashTable *listed; /* searchers in the list in progress, or NULL */
 	wv_msec grace_until; /* missing searchers are kept until then */
 	wv_msec next; /* earliest removal_at, or WV_MSEC_NEVER */
@@ -45,6 +47,7 @@
 	registry->services = g_hash_table_new_full(
 	    wv_string_key_hash, wv_string_key_equal, NULL, service_destroy);
 	registry->statements = statements_create();
+	registry->hints = leaving_hints_create();
 	registry->grace_until = -WV_MSEC_NEVER;
 	registry->next = WV_MSEC_NEVER;
 	return registry;
@@ -74,6 +77,7 @@
 	if (registry->listed != NULL)
 		g_hash_table_unref(registry->listed);
 	statements_destroy(registry->statements);
+	leaving_hints_destroy(registry->hints);
 	wv_string_clear(&registry->zone);
 	g_free(registry);
 }
@@ -107,6 +111,7 @@
 {
 	g_hash_table_remove(registry->searchers, &searcher->id);
 	g_ptr_array_remove_fast(searcher->service->searchers, searcher);
+	leaving_hints_remove(registry->hints, searcher);
 	searcher->removed = true;
 	if (searcher->outstanding == 0)
 		searcher_free(registry, searcher);
@@ -128,6 +133,7 @@
 	searcher->slots = MAX(entry->slots, 1);
 	searcher->draining = entry->draining;
 	searcher->leaving = said != NULL && said->leaving;
+	searcher->hinted_at = -WV_MSEC_NEVER;
 	searcher->rests_until =
 	    said != NULL ? said->rests_until : -WV_MSEC_NEVER;
 	searcher->same_zone = wv_string_equal(entry->zone, registry->zone);
@@ -206,6 +212,25 @@
 	statements_add(
 	    registry->statements, now, searcher->id, searcher->started)
 	    ->leaving = true;
+	leaving_hints_add(registry->hints, now, searcher, 0);
+}
+
+bool
+wv_registry_add_hint(struct wv_registry *registry, wv_msec now,
+    const struct wv_leaving_hint *hint)
+{
+	struct wv_searcher *searcher =
+	    wv_registry_find(registry, hint->searcher);
+
+	return searcher != NULL && searcher->started == hint->started &&
+	    leaving_hints_add(registry->hints, now, searcher, hint->age);
+}
+
+size_t
+wv_registry_list_hints(struct wv_registry *registry, wv_msec now,
+    struct wv_leaving_hint *list, size_t max)
+{
+	return leaving_hints_list(registry->hints, now, list, max);
 }
 
 void
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -157,6 +157,46 @@
 	simulation_destroy(simulation);
 }
 
+static void
+hint_leaving(struct simulation *simulation, unsigned replica)
+{
+	struct wv_leaving_hint hint = {
+	    .searcher =
+		borrow_text(simulation_searcher(simulation, 0, replica)->id),
+	    .started = 1};
+
+	g_assert_true(
+	    wv_registry_add_hint(simulation->registry, simulation->now, &hint));
+}
+
+/*
+ * A searcher that is leaving by what other VMs have heard gets no request while
+ * another one takes it, but no request fails for a hint alone.
+ */
+static void
+test_hinted(void)
+{
+	struct simulation *simulation = simulation_create(1, 3, 8);
+	struct simulation_result results[60] = {0};
+
+	hint_leaving(simulation, 0);
+	for (unsigned i = 0; i < 60; i++) {
+		if (i == 30) {
+			g_assert_cmpuint(
+			    simulation_searcher(simulation, 0, 0)->arrivals, ==,
+			    0);
+			hint_leaving(simulation, 1);
+			hint_leaving(simulation, 2);
+		}
+		simulation_submit(simulation, 1, 1500, &results[i]);
+		simulation_run(simulation, 20);
+	}
+	simulation_run(simulation, 400);
+	for (unsigned i = 0; i < 60; i++)
+		g_assert_cmpint(results[i].kind, ==, WV_RESULT_RELAY);
+	simulation_destroy(simulation);
+}
+
 /*
  * A searcher that asks for a rest gets nothing for that time. If all rest, the
  * caller is refused at once and told the shortest rest, and later served.
@@ -478,6 +518,7 @@
 	g_test_add_func("/dispatch/scatter/least", test_below_min_parts);
 	g_test_add_func("/dispatch/scatter/give-up", test_fails_at_once);
 	g_test_add_func("/dispatch/leaving", test_leaving);
+	g_test_add_func("/dispatch/hinted", test_hinted);
 	g_test_add_func("/dispatch/resting", test_resting);
 	g_test_add_func(
 	    "/dispatch/scatter/unreachable", test_refuses_unreachable);
--- a/test/test_entry_hostile.c
+++ b/test/test_entry_hostile.c
@@ -25,6 +25,8 @@
 #define MAX_DATAGRAM_BYTES 9000
 /** Largest number of hubs in a report. */
 #define MAX_HUBS 40
+/** Largest number of hints in a report; more than servers take. */
+#define MAX_HINTS 20
 /** Connections to each TCP port, and those that are open at once. */
 #define N_CONNECTIONS 240
 #define CONNECTION_BATCH 40
@@ -242,6 +244,20 @@
 	hub->store_failed = g_rand_boolean(rand);
 }
 
+/* Fills in a hint about a searcher that exists, or with a random text. */
+static void
+fill_hint(GRand *rand, LeavingHint *hint)
+{
+	leaving_hint__init(hint);
+	hint->searcher = g_rand_boolean(rand)
+	    ? standin_searcher_id(
+		  (unsigned)g_rand_int_range(rand, 0, N_SERVICES),
+		  (unsigned)g_rand_int_range(rand, 0, N_REPLICAS))
+	    : random_name(rand);
+	hint->started = g_rand_boolean(rand) ? 1 : random_uint64(rand);
+	hint->age = (uint32_t)random_uint64(rand);
+}
+
 /* Appends a report with valid encoding and extreme values. */
 static void
 append_report(GRand *rand, GString *bytes)
@@ -249,6 +265,8 @@
 	VmReport report = VM_REPORT__INIT;
 	VmState hubs[MAX_HUBS];
 	VmState *list[MAX_HUBS];
+	LeavingHint hints[MAX_HINTS];
+	LeavingHint *hint_list[MAX_HINTS];
 	uint8_t *packed;
 
 	report.protocol = 1;
@@ -276,12 +294,21 @@
 		list[i] = &hubs[i];
 		fill_hub(rand, &hubs[i]);
 	}
+	report.n_leaving_searchers =
+	    (size_t)g_rand_int_range(rand, 0, MAX_HINTS + 1);
+	report.leaving_searchers = hint_list;
+	for (size_t i = 0; i < report.n_leaving_searchers; i++) {
+		hint_list[i] = &hints[i];
+		fill_hint(rand, &hints[i]);
+	}
 	packed = g_malloc(vm_report__get_packed_size(&report));
 	g_string_append_len(
 	    bytes, (char *)packed, (gssize)vm_report__pack(&report, packed));
 	g_free(packed);
 	for (size_t i = 0; i < report.n_hubs; i++)
 		g_free(hubs[i].name);
+	for (size_t i = 0; i < report.n_leaving_searchers; i++)
+		g_free(hints[i].searcher);
 	g_free(report.name);
 }
 
--- a/test/test_entry_vms.c
+++ b/test/test_entry_vms.c
@@ -14,6 +14,8 @@
 #define N_WATCHERS 3
 /** Time within which all VMs must apply a change, ms. */
 #define MAX_CHANGE_TIME 3000
+/** Orders that reach each of two searchers, but for one case in a million. */
+#define N_ORDERS 20
 /** Longest delay of a log line, since lines are collected, ms. */
 #define LOG_DELAY 300
 
@@ -64,6 +66,20 @@
 	fixture_destroy(fixture);
 }
 
+/* Sends an order to a VM; it must be answered with success. */
+static void
+send_order(struct fixture *fixture, unsigned vm, unsigned i, GString *body)
+{
+	char *id = g_strdup_printf("order-%u-%u", vm, i);
+	char *order = compose_order(id);
+
+	g_assert_cmpuint(
+	    exchange_bytes(fixture, fixture->vms[vm].callers, order, body), ==,
+	    200);
+	g_free(order);
+	g_free(id);
+}
+
 /*
  * Sends a report of a VM that does not exist to VM `to`.
  *
@@ -100,6 +116,42 @@
 	close(fd);
 }
 
+/*
+ * What a searcher says to one VM reaches the others as a hint: the other VM
+ * sends its orders to the other searcher, though the first one answers.
+ */
+static void
+test_leaving_hint(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	GString *body = g_string_new(NULL);
+	uint64_t arrivals;
+
+	open_store(fixture);
+	start_vm(fixture);
+	start_vm(fixture);
+	g_assert_true(wait_all_listed(fixture));
+	standin_searchers_set_leaving(
+	    fixture->searchers, N_SERVICES - 1, 0, true);
+	for (unsigned i = 0; i < N_ORDERS; i++)
+		send_order(fixture, 0, i, body);
+	g_assert_true(
+	    wait_logged(fixture, &fixture->vms[0], "\"searcher_leaving\""));
+	g_assert_true(
+	    wait_logged(fixture, &fixture->vms[1], "\"searcher_hinted\""));
+	standin_searchers_set_leaving(
+	    fixture->searchers, N_SERVICES - 1, 0, false);
+	arrivals =
+	    standin_searchers_arrivals(fixture->searchers, N_SERVICES - 1, 0);
+	for (unsigned i = 0; i < N_ORDERS; i++)
+		send_order(fixture, 1, i, body);
+	g_assert_cmpuint(
+	    standin_searchers_arrivals(fixture->searchers, N_SERVICES - 1, 0),
+	    ==, arrivals);
+	g_string_free(body, TRUE);
+	fixture_destroy(fixture);
+}
+
 /* A VM that can't send reports to another one must log that. */
 static void
 test_unsent_reports(void)
@@ -185,6 +237,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-vms/start-at-once", test_start_at_once);
 	g_test_add_func("/entry-vms/stale-list", test_stale_list);
+	g_test_add_func("/entry-vms/leaving-hint", test_leaving_hint);
 	g_test_add_func("/entry-vms/unsent-reports", test_unsent_reports);
 	g_test_add_func("/entry-vms/silent-watchers", test_silent_watchers);
 	return g_test_run();
--- a/wisteriavane/registry.h
+++ b/wisteriavane/registry.h
@@ -54,6 +54,8 @@
 	uint32_t slots; /**< concurrent requests, at least 1 */
 	bool draining; /**< takes no new requests, by its entry */
 	bool leaving; /**< takes no new requests, by its own answers */
+	wv_msec hinted_at; /**< when it said that it is leaving, to this VM or
+				by what others heard; -WV_MSEC_NEVER: never */
 	wv_msec rests_until; /**< asked for no requests before, ms */
 	bool removed; /**< not in the registry; freed after its last attempt */
 	bool same_zone; /**< in the availability zone of this VM */
@@ -64,6 +66,16 @@
 	void *link; /**< owned by the embedder: its connections */
 };
 
+/**
+ * A hint: a VM has heard from an incarnation of a searcher that it is leaving.
+ * The string is borrowed.
+ */
+struct wv_leaving_hint {
+	struct wv_string searcher; /**< identifier */
+	uint64_t started; /**< Unix time of the incarnation's start, ms */
+	wv_msec age; /**< time since it said so, ms */
+};
+
 /** Callbacks that the embedder implements. */
 struct wv_registry_ops {
 	/** Releases the link of a searcher that is about to be freed. */
@@ -134,6 +146,32 @@
 void wv_registry_set_leaving(
     struct wv_registry *registry, wv_msec now, struct wv_searcher *searcher);
 
+/**
+ * Applies another VM's hint. It concerns the very incarnation only; one about
+ * another or an unknown one, or that is too old, is ignored. Until a hint has
+ * faded, a minute after the searcher said that it is leaving, requests prefer
+ * other searchers. The searcher still takes requests, since a hint may be
+ * wrong.
+ *
+ * @return whether this VM had no hint about it
+ */
+bool wv_registry_add_hint(struct wv_registry *registry, wv_msec now,
+    const struct wv_leaving_hint *hint);
+
+/**
+ * Lists the newest hints for other VMs, own and heard ones: those that they
+ * would take, about searchers whose entries don't say it already.
+ *
+ * @param list  receives up to max hints, newest first; borrowed from the
+ *              registry until it changes
+ * @return their number
+ */
+size_t wv_registry_list_hints(struct wv_registry *registry, wv_msec now,
+    struct wv_leaving_hint *list, size_t max);
+
+/** Returns whether there is a hint that a searcher is leaving. */
+bool wv_searcher_is_hinted(const struct wv_searcher *searcher, wv_msec now);
+
 /**
  * Records that a searcher has asked for no requests for a time. This holds for
  * its incarnation like wv_registry_set_leaving(). A shorter time does not end a
