Show operators the searchers that leave or rest

What a VM believes of a searcher could only be gathered from its log lines: a searcher that left or rested looked like any other, and whether other VMs had heard of it could not be seen.

The metrics have the number of searchers by state now, and GET /searchers on the same address names those that are not ready, with their state, how long they still rest and how long ago they said that they are leaving.

--- a/entry/pages.c
+++ b/entry/pages.c
@@ -3,6 +3,7 @@
  * The servers of an entry VM beside the one for callers' requests.
  */
 #include "entry/pages.h"
+#include "entry/searcher_states.h"
 
 static void
 on_address_query(
@@ -55,11 +56,19 @@
     void *data, struct server_conn *conn, const struct message *message)
 {
 	struct entry *entry = data;
-	GString *text =
-	    metrics_text(&entry->metrics, log_count_dropped(entry->log));
-	struct wv_string body = {text->str, text->len};
+	wv_msec now = entry_now(entry);
+	struct wv_string body;
+	GString *text;
 
-	(void)message;
+	if (wv_string_equal(message_target(message),
+		wv_string_borrow(SEARCHER_STATES_PATH))) {
+		text = searcher_states_list(entry->registry, now);
+	} else {
+		text = metrics_text(
+		    &entry->metrics, log_count_dropped(entry->log));
+		searcher_states_append_metrics(text, entry->registry, now);
+	}
+	body = (struct wv_string){text->str, text->len};
 	server_answer(conn, 200, NULL, body);
 	g_string_free(text, TRUE);
 }
--- a/test/test_entry_vms.c
+++ b/test/test_entry_vms.c
@@ -14,6 +14,8 @@
 #define N_WATCHERS 3
 /** Time within which all VMs must apply a change, ms. */
 #define MAX_CHANGE_TIME 3000
+/** Index of the metrics' port among the ports of a VM. */
+#define METRICS_PORT 4
 /** Orders that reach each of two searchers, but for one case in a million. */
 #define N_ORDERS 20
 /** Longest delay of a log line, since lines are collected, ms. */
@@ -116,6 +118,29 @@
 	close(fd);
 }
 
+/* Returns whether a VM shows operators a searcher of orders in a state. */
+static bool
+shows_state(struct fixture *fixture, unsigned vm, const char *state)
+{
+	char *address = g_strdup_printf("127.0.0.1:%u",
+	    fixture->ports[1 + N_SERVICES * N_REPLICAS + vm * VM_PORTS +
+		METRICS_PORT]);
+	char *id = standin_searcher_id(N_SERVICES - 1, 0);
+	GString *body = g_string_new(NULL);
+	char *line = g_strdup_printf("\"%s\",\"said_ms_ago\"", state);
+	bool shown;
+
+	exchange_bytes(fixture, address,
+	    "GET /searchers HTTP/1.1\r\nHost: metrics\r\n\r\n", body);
+	shown =
+	    strstr(body->str, id) != NULL && strstr(body->str, line) != NULL;
+	g_free(line);
+	g_string_free(body, TRUE);
+	g_free(id);
+	g_free(address);
+	return shown;
+}
+
 /*
  * What a searcher says to one VM reaches the others as a hint: the other VM
  * sends its orders to the other searcher, though the first one answers.
@@ -139,6 +164,8 @@
 	    wait_logged(fixture, &fixture->vms[0], "\"searcher_leaving\""));
 	g_assert_true(
 	    wait_logged(fixture, &fixture->vms[1], "\"searcher_hinted\""));
+	g_assert_true(shows_state(fixture, 0, "leaving"));
+	g_assert_true(shows_state(fixture, 1, "hinted"));
 	standin_searchers_set_leaving(
 	    fixture->searchers, N_SERVICES - 1, 0, false);
 	arrivals =
