Fuzz one entry among others in what the store sends

The target writes its input between two readable entries of each kind, in lists and in changes, and checks that both are found unchanged whatever it is, as long as its quotes and brackets are closed, and that all objects that are found reach other VMs unchanged. test_fuzz runs it with its corpus as the others; WV_FUZZ_SECONDS and WV_SEED make longer runs, and the number of inputs run is printed.

--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -33,6 +33,8 @@
 extern const struct fuzz_target fuzz_message;
 /** Accepted objects of the platform's store must keep to their ranges. */
 extern const struct fuzz_target fuzz_store_object;
+/** An entry of the store's answers must neither hide nor change others. */
+extern const struct fuzz_target fuzz_store;
 /** An error that ends a stream of frames must persist in later calls. */
 extern const struct fuzz_target fuzz_frame;
 
@@ -42,9 +44,10 @@
  * @param max_inputs  number of inputs
  * @param time_limit  time after which the run ends early, microseconds
  * @param seed        seed of the random number generator
+ * @param n_run       receives the number of inputs that were run
  * @return the number of inputs that were accepted
  */
 unsigned fuzz_run(const struct fuzz_target *target, unsigned max_inputs,
-    gint64 time_limit, guint32 seed);
+    gint64 time_limit, guint32 seed, unsigned *n_run);
 
 #endif
--- a/fuzz/run.c
+++ b/fuzz/run.c
@@ -109,7 +109,7 @@
 
 unsigned
 fuzz_run(const struct fuzz_target *target, unsigned max_inputs,
-    gint64 time_limit, guint32 seed)
+    gint64 time_limit, guint32 seed, unsigned *n_run)
 {
 	GRand *rand = g_rand_new_with_seed(seed);
 	gint64 end = g_get_monotonic_time() + time_limit;
@@ -117,6 +117,7 @@
 
 	while (target->seeds[n_seeds] != NULL)
 		n_seeds++;
+	*n_run = 0;
 	g_return_val_if_fail(n_seeds > 0, 0);
 	for (unsigned i = 0; i < max_inputs; i++) {
 		GString *input = g_string_new(target->seeds[i % n_seeds]);
@@ -125,6 +126,7 @@
 		if (i >= n_seeds)
 			mutate(rand, input);
 		accepted += run_one(target, input) ? 1 : 0;
+		(*n_run)++;
 		g_string_free(input, TRUE);
 		if (g_get_monotonic_time() > end)
 			break;
