Encode reports in a module of their own

reports.c both encoded reports and sent them, so that the bound of a datagram's size could only be tested with sockets. report_encode.c does the former.

--- /dev/null
+++ b/entry/report_encode.c
@@ -0,0 +1,85 @@
+/**
+ * @file
+ * Encoding of a VM's reports to other VMs as datagrams of bounded size.
+ */
+#include <math.h>
+
+#include "entry/report_encode.h"
+#include "proto/vm_report.pb-c.h"
+
+/** Longest identifier of a searcher in a hint. */
+#define MAX_HINTED_ID 64
+
+/* Hints about leaving searchers, to be packed. */
+struct packed_hints {
+	size_t n;
+	LeavingHint items[REPORT_MAX_HINTS];
+	LeavingHint *pointers[REPORT_MAX_HINTS];
+};
+
+static void
+fill_hints(struct packed_hints *packed, const struct report_hints *hints)
+{
+	packed->n = 0;
+	for (size_t i = 0; i < hints->n; i++) {
+		const struct wv_leaving_hint *hint = &hints->items[i];
+		LeavingHint *item = &packed->items[packed->n];
+
+		if (hint->searcher.length > MAX_HINTED_ID)
+			continue;
+		leaving_hint__init(item);
+		item->searcher = hint->searcher.data;
+		item->started = hint->started;
+		/* Rounded up, so that it does not become younger on its way. */
+		item->age = (uint32_t)ceil(hint->age);
+		packed->pointers[packed->n++] = item;
+	}
+}
+
+static void
+fill_report(VmReport *report, const struct wv_peer_report *own,
+    const struct wv_peer_target *target, const GPtrArray *hubs)
+{
+	vm_report__init(report);
+	report->protocol = REPORT_VERSION;
+	report->name = own->name.data;
+	report->incarnation = own->incarnation;
+	report->sequence = own->sequence;
+	report->peers = own->peer_address.data;
+	report->callers = own->caller_address.data;
+	report->zone = own->zone.data;
+	report->serving = own->serving;
+	report->leaving = own->leaving;
+	report->capacity = own->capacity;
+	report->store_failed = own->store_failed;
+	report->routes_revision = own->revisions[WV_PEER_ROUTES];
+	report->searchers_revision = own->revisions[WV_PEER_SEARCHERS];
+	report->leaf = own->is_leaf;
+	report->view = own->view;
+	report->attach = target->attach;
+	report->introduces = target->introduces;
+	report->known_view = target->known_view;
+	if (target->with_hubs && hubs != NULL) {
+		report->n_hubs = hubs->len;
+		report->hubs = (VmState **)hubs->pdata;
+	}
+}
+
+size_t
+report_encode(const struct wv_peer_report *own,
+    const struct wv_peer_target *target, const GPtrArray *hubs,
+    const struct report_hints *hints, uint8_t buffer[REPORT_MAX_BYTES])
+{
+	struct packed_hints packed;
+	VmReport report;
+
+	fill_report(&report, own, target, hubs);
+	fill_hints(&packed, hints);
+	report.n_leaving_searchers = packed.n;
+	report.leaving_searchers = packed.pointers;
+	if (vm_report__get_packed_size(&report) > REPORT_MAX_BYTES)
+		report.n_leaving_searchers = 0;
+	if (vm_report__get_packed_size(&report) > REPORT_MAX_BYTES)
+		return 0;
+	return vm_report__pack(&report, buffer);
+}
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -4,32 +4,18 @@
  * periodically and when the state changes.
  */
 #include <errno.h>
-#include <math.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "entry/entry.h"
+#include "entry/report_encode.h"
 #include "entry/socket.h"
 #include "proto/vm_report.pb-c.h"
 
-/** Version of the datagrams; reports of another version are rejected. */
-#define PROTOCOL_VERSION 1
-/** Largest datagram, bytes; the list of all hubs takes most of it. */
-#define MAX_DATAGRAM_BYTES 8192
-/** Hints about leaving searchers in a report, and their longest identifier. */
-#define MAX_HINTS 16
-#define MAX_HINTED_ID 64
 /** Datagrams read in one iteration of the event loop. */
 #define MAX_READS 64
 
-/* Hints about leaving searchers, to be packed. */
-struct packed_hints {
-	size_t n;
-	LeavingHint items[MAX_HINTS];
-	LeavingHint *pointers[MAX_HINTS];
-};
-
 struct reports {
 	struct entry *entry;
 	int fd; /* -1: not open yet */
@@ -88,69 +74,10 @@
 
 /* Collects the newest hints about leaving searchers; strings are borrowed. */
 static void
-collect_hints(const struct entry *entry, struct packed_hints *packed)
+collect_hints(const struct entry *entry, struct report_hints *hints)
 {
-	struct wv_leaving_hint hints[MAX_HINTS];
-	size_t n = wv_registry_list_hints(
-	    entry->registry, entry_now(entry), hints, MAX_HINTS);
-
-	packed->n = 0;
-	for (size_t i = 0; i < n; i++) {
-		LeavingHint *item = &packed->items[packed->n];
-
-		if (hints[i].searcher.length > MAX_HINTED_ID)
-			continue;
-		leaving_hint__init(item);
-		item->searcher = hints[i].searcher.data;
-		item->started = hints[i].started;
-		/* Rounded up, so that it does not become younger on its way. */
-		item->age = (uint32_t)ceil(hints[i].age);
-		packed->pointers[packed->n++] = item;
-	}
-}
-
-/*
- * Encodes a report to one VM; returns its length, or 0 if it is too large. The
- * hints are left out of one that is too large with them.
- *
- * hubs: of this VM's view, VmState
- */
-static size_t
-pack_report(const struct wv_peer_report *own,
-    const struct wv_peer_target *target, const GPtrArray *hubs,
-    struct packed_hints *hints, uint8_t buffer[MAX_DATAGRAM_BYTES])
-{
-	VmReport report = VM_REPORT__INIT;
-
-	report.protocol = PROTOCOL_VERSION;
-	report.name = own->name.data;
-	report.incarnation = own->incarnation;
-	report.sequence = own->sequence;
-	report.peers = own->peer_address.data;
-	report.callers = own->caller_address.data;
-	report.zone = own->zone.data;
-	report.serving = own->serving;
-	report.leaving = own->leaving;
-	report.capacity = own->capacity;
-	report.store_failed = own->store_failed;
-	report.routes_revision = own->revisions[WV_PEER_ROUTES];
-	report.searchers_revision = own->revisions[WV_PEER_SEARCHERS];
-	report.leaf = own->is_leaf;
-	report.view = own->view;
-	report.attach = target->attach;
-	report.introduces = target->introduces;
-	report.known_view = target->known_view;
-	if (target->with_hubs && hubs != NULL) {
-		report.n_hubs = hubs->len;
-		report.hubs = (VmState **)hubs->pdata;
-	}
-	report.n_leaving_searchers = hints->n;
-	report.leaving_searchers = hints->pointers;
-	if (vm_report__get_packed_size(&report) > MAX_DATAGRAM_BYTES)
-		report.n_leaving_searchers = 0;
-	if (vm_report__get_packed_size(&report) > MAX_DATAGRAM_BYTES)
-		return 0;
-	return vm_report__pack(&report, buffer);
+	hints->n = wv_registry_list_hints(
+	    entry->registry, entry_now(entry), hints->items, REPORT_MAX_HINTS);
 }
 
 /* Sends a report to an address IP:PORT; returns 0 or an errno value. */
@@ -198,11 +125,11 @@
 static int
 send_report(struct reports *reports, const struct wv_peer_report *own,
     const struct wv_peer_target *target, const GPtrArray *hubs,
-    struct packed_hints *hints)
+    const struct report_hints *hints)
 {
 	struct metrics *metrics = &reports->entry->metrics;
-	uint8_t buffer[MAX_DATAGRAM_BYTES];
-	size_t length = pack_report(own, target, hubs, hints, buffer);
+	uint8_t buffer[REPORT_MAX_BYTES];
+	size_t length = report_encode(own, target, hubs, hints, buffer);
 	int error = send_to(reports, target->address, buffer, length);
 
 	wv_counter_add(
@@ -216,7 +143,7 @@
 {
 	struct entry *entry = reports->entry;
 	GPtrArray *hubs = g_ptr_array_new_with_free_func(g_free);
-	struct packed_hints hints;
+	struct report_hints hints;
 	const char *failed = "";
 	int error = 0;
 
@@ -263,7 +190,7 @@
 	struct wv_peer_target target =
 	    wv_peers_answer_introduction(reports->entry->peers, hub);
 	struct wv_peer_report own;
-	struct packed_hints hints;
+	struct report_hints hints;
 
 	compose_own_report(reports, &own);
 	collect_hints(reports->entry, &hints);
@@ -300,7 +227,7 @@
 apply_hints(struct reports *reports, const VmReport *packed)
 {
 	struct entry *entry = reports->entry;
-	size_t n = MIN(packed->n_leaving_searchers, MAX_HINTS);
+	size_t n = MIN(packed->n_leaving_searchers, REPORT_MAX_HINTS);
 	char id[LOG_NAME_SIZE];
 	char from[LOG_NAME_SIZE];
 
@@ -377,8 +304,7 @@
 		    !is_valid_address(hub->peers, hub->callers))
 			return false;
 	}
-	return report->protocol == PROTOCOL_VERSION &&
-	    report->name[0] != '\0' &&
+	return report->protocol == REPORT_VERSION && report->name[0] != '\0' &&
 	    is_valid_address(report->peers, report->callers);
 }
 
@@ -386,7 +312,7 @@
 on_read(evutil_socket_t fd, short what, void *data)
 {
 	struct reports *reports = data;
-	uint8_t buffer[MAX_DATAGRAM_BYTES];
+	uint8_t buffer[REPORT_MAX_BYTES];
 
 	(void)what;
 	for (int i = 0; i < MAX_READS; i++) {
