--- a/entry/reports.c
+++ b/entry/reports.c
@@ -9,13 +9,10 @@
 #include <unistd.h>
 
 #include "entry/entry.h"
+#include "entry/report_encode.h"
 #include "entry/socket.h"
 #include "proto/vm_report.pb-c.h"
 
-/** Version of the datagrams; reports of another version are rejected. */
-#define PROTOCOL_VERSION 1
-/** Largest datagram, bytes; the list of all hubs takes most of it. */
-#define MAX_DATAGRAM_BYTES 8192
 /** Datagrams read in one iteration of the event loop. */
 #define MAX_READS 64
 
@@ -75,43 +72,12 @@
 	g_ptr_array_add(data, state);
 }
 
-/*
- * Encodes a report to one VM; returns its length, or 0 if it is too large.
- *
- * hubs: of this VM's view, VmState
- */
-static size_t
-pack_report(const struct wv_peer_report *own,
-    const struct wv_peer_target *target, const GPtrArray *hubs,
-    uint8_t buffer[MAX_DATAGRAM_BYTES])
+/* Collects the newest hints about leaving searchers; strings are borrowed. */
+static void
+collect_hints(const struct entry *entry, struct report_hints *hints)
 {
-	VmReport report = VM_REPORT__INIT;
-
-	report.protocol = PROTOCOL_VERSION;
-	report.name = own->name.data;
-	report.incarnation = own->incarnation;
-	report.sequence = own->sequence;
-	report.peers = own->peer_address.data;
-	report.callers = own->caller_address.data;
-	report.zone = own->zone.data;
-	report.serving = own->serving;
-	report.leaving = own->leaving;
-	report.capacity = own->capacity;
-	report.store_failed = own->store_failed;
-	report.routes_revision = own->revisions[WV_PEER_ROUTES];
-	report.searchers_revision = own->revisions[WV_PEER_SEARCHERS];
-	report.leaf = own->is_leaf;
-	report.view = own->view;
-	report.attach = target->attach;
-	report.introduces = target->introduces;
-	report.known_view = target->known_view;
-	if (target->with_hubs && hubs != NULL) {
-		report.n_hubs = hubs->len;
-		report.hubs = (VmState **)hubs->pdata;
-	}
-	if (vm_report__get_packed_size(&report) > MAX_DATAGRAM_BYTES)
-		return 0;
-	return vm_report__pack(&report, buffer);
+	hints->n = wv_registry_list_hints(
+	    entry->registry, entry_now(entry), hints->items, REPORT_MAX_HINTS);
 }
 
 /* Sends a report to an address IP:PORT; returns 0 or an errno value. */
@@ -158,11 +124,12 @@
 /* Sends a report to one VM and counts it; returns 0 or an errno value. */
 static int
 send_report(struct reports *reports, const struct wv_peer_report *own,
-    const struct wv_peer_target *target, const GPtrArray *hubs)
+    const struct wv_peer_target *target, const GPtrArray *hubs,
+    const struct report_hints *hints)
 {
 	struct metrics *metrics = &reports->entry->metrics;
-	uint8_t buffer[MAX_DATAGRAM_BYTES];
-	size_t length = pack_report(own, target, hubs, buffer);
+	uint8_t buffer[REPORT_MAX_BYTES];
+	size_t length = report_encode(own, target, hubs, hints, buffer);
 	int error = send_to(reports, target->address, buffer, length);
 
 	wv_counter_add(
@@ -176,15 +143,17 @@
 {
 	struct entry *entry = reports->entry;
 	GPtrArray *hubs = g_ptr_array_new_with_free_func(g_free);
+	struct report_hints hints;
 	const char *failed = "";
 	int error = 0;
 
+	collect_hints(entry, &hints);
 	wv_peers_foreach_heard_hub(
 	    entry->peers, entry_now(entry), add_hub, hubs);
 	for (guint i = 0; i < targets->len; i++) {
 		const struct wv_peer_target *target =
 		    &g_array_index(targets, struct wv_peer_target, i);
-		int outcome = send_report(reports, own, target, hubs);
+		int outcome = send_report(reports, own, target, hubs, &hints);
 
 		if (outcome == 0)
 			continue;
@@ -221,9 +190,11 @@
 	struct wv_peer_target target =
 	    wv_peers_answer_introduction(reports->entry->peers, hub);
 	struct wv_peer_report own;
+	struct report_hints hints;
 
 	compose_own_report(reports, &own);
-	send_report(reports, &own, &target, NULL);
+	collect_hints(reports->entry, &hints);
+	send_report(reports, &own, &target, NULL, &hints);
 }
 
 static void
@@ -251,6 +222,35 @@
 	g_free(hubs);
 }
 
+/* Applies hints about leaving searchers; only so many that a VM sends. */
+static void
+apply_hints(struct reports *reports, const VmReport *packed)
+{
+	struct entry *entry = reports->entry;
+	size_t n = MIN(packed->n_leaving_searchers, REPORT_MAX_HINTS);
+	char id[LOG_NAME_SIZE];
+	char from[LOG_NAME_SIZE];
+
+	for (size_t i = 0; i < n; i++) {
+		const LeavingHint *item = packed->leaving_searchers[i];
+		struct wv_leaving_hint hint = {
+		    .searcher = wv_string_borrow(item->searcher),
+		    .started = item->started,
+		    .age = item->age};
+
+		if (!wv_registry_add_hint(
+			entry->registry, entry_now(entry), &hint))
+			continue;
+		wv_counter_add(&entry->metrics.searchers_hinted, 1);
+		log_line(entry->log, LOG_CHANGE, "searcher_hinted",
+		    "\"searcher\":\"%s\",\"from\":\"%s\",\"age_ms\":%u",
+		    log_escape(hint.searcher, id, sizeof(id)),
+		    log_escape(
+			wv_string_borrow(packed->name), from, sizeof(from)),
+		    item->age);
+	}
+}
+
 static void
 apply_report(struct reports *reports, const VmReport *packed)
 {
@@ -278,6 +278,7 @@
 		return;
 	if (packed->n_hubs > 0)
 		apply_hubs(reports, packed);
+	apply_hints(reports, packed);
 	if (packed->introduces)
 		answer_introduction(reports, &report);
 	store_sync_compare_revisions(entry->store, &report);
@@ -303,8 +304,7 @@
 		    !is_valid_address(hub->peers, hub->callers))
 			return false;
 	}
-	return report->protocol == PROTOCOL_VERSION &&
-	    report->name[0] != '\0' &&
+	return report->protocol == REPORT_VERSION && report->name[0] != '\0' &&
 	    is_valid_address(report->peers, report->callers);
 }
 
@@ -312,7 +312,7 @@
 on_read(evutil_socket_t fd, short what, void *data)
 {
 	struct reports *reports = data;
-	uint8_t buffer[MAX_DATAGRAM_BYTES];
+	uint8_t buffer[REPORT_MAX_BYTES];
 
 	(void)what;
 	for (int i = 0; i < MAX_READS; i++) {
