Create a VM's entry again that was removed while it registers

What callers would see: nothing at first. A VM whose entry in the store is removed after its POST and before its PUT had no entry until its next start, so VMs that start later did not find it by their lists, and it repeated the refused PUT, a priced call, about once a second for ever.

Cause: a PUT replaces an object. An answer other than 2xx counted as a failure that passes, also 404.

Evidence: /entry-vms/removed-while-registering failed on the old code: the entry was not there again after 20 s.

Change: 404 to the PUT begins the registration anew with a POST, after which the list is read as at the start. The pages do not say what a PUT does to an object that is absent; if the store creates it, nothing changes.

--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -191,6 +191,11 @@
 {
 	bool create = follower->phase == PHASE_CREATE;
 
+	/* The registration was removed since it was listed. */
+	if (!create && status == 404) {
+		follower->phase = PHASE_CREATE;
+		return true;
+	}
 	if (status / 100 != 2 && !(create && status == 409))
 		return false;
 	/*
--- a/test/test_entry_vms.c
+++ b/test/test_entry_vms.c
@@ -64,6 +64,40 @@
 	fixture_destroy(fixture);
 }
 
+/* Waits until VM 0 has an entry in the store. */
+static bool
+wait_entry(struct fixture *fixture)
+{
+	for (int i = 0; i < EVENT_TIMEOUT / CHECK_INTERVAL; i++) {
+		if (standin_store_revision(
+			fixture->store, STANDIN_KIND_VMS, "vm0") > 0)
+			return true;
+		run_for(fixture, CHECK_INTERVAL);
+	}
+	return false;
+}
+
+/*
+ * A VM whose entry is removed while it registers must create it again: it finds
+ * none to replace. Otherwise it would repeat a priced call for ever.
+ */
+static void
+test_removed_while_registering(void)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+
+	open_store(fixture);
+	/* Its lists lack the entry for some seconds, so it registers so long.
+	 */
+	standin_store_freeze_stale_reads(fixture->store);
+	start_vm(fixture);
+	g_assert_true(wait_entry(fixture));
+	standin_store_remove(fixture->store, STANDIN_KIND_VMS, "vm0");
+	g_assert_true(wait_entry(fixture));
+	stop_vm(fixture, &fixture->vms[0]);
+	fixture_destroy(fixture);
+}
+
 /*
  * Sends a report of a VM that does not exist to VM `to`.
  *
@@ -185,6 +219,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	g_test_add_func("/entry-vms/start-at-once", test_start_at_once);
 	g_test_add_func("/entry-vms/stale-list", test_stale_list);
+	g_test_add_func("/entry-vms/removed-while-registering",
+	    test_removed_while_registering);
 	g_test_add_func("/entry-vms/unsent-reports", test_unsent_reports);
 	g_test_add_func("/entry-vms/silent-watchers", test_silent_watchers);
 	return g_test_run();
