Remove the entries of VMs that were removed for good

What callers saw: nothing directly. Entries of VMs in the store stayed for ever, so each start read them all (357 KB and 10 calls with 3,000 of them, 2.4 KB and 4 calls with none) and divided its limits by them until it had forgotten them.

Cause: an entry does not expire, and nobody removed it.

Change: the strongest hub removes the entry of a VM that it could not hear for ten minutes and that left five questions unanswered, one in 10 s, by the revision that a list had, while it hears others and its own calls of the store succeed. Calls that fail are repeated ever more rarely. Without silent VMs there is no call and no question. A VM that heard nobody for five minutes registers again when it hears somebody; the VM that removed an entry writes it again when it hears its VM.

Why it works: an entry that was written since the list has another revision and stays. A VM that returns under its old name does not change its entry; the one that asked for the removal hears it and writes the entry again, after a minute if the removal got no answer, since the store may execute it late. /removal/orders explores all orders of seven events: two VMs remove at once, answers are lost, calls take effect late, the VM returns or registers at another address in between (201,306 and 167,390 orders).

Before, with the call of store_cleanup() taken out: /entry-removal/ removed-and-back fails ("gone0" still has its entry after 12 minutes), isolated (no own entry after the isolation), written-again and cost (no removal). Afterwards they pass.

--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -38,6 +38,7 @@
 	X(store_calls)                                       \
 	X(store_failures)                                    \
 	X(objects_unreadable)                                \
+	X(vm_entries_removed) /* of VMs that are gone */     \
 	X(routes_changes)                                    \
 	X(address_answers)                                   \
 	X(reports_sent)                                      \
--- a/entry/platform_adapter.h
+++ b/entry/platform_adapter.h
@@ -21,6 +21,7 @@
 struct store_object {
 	struct wv_string name;
 	bool deleted;
+	uint64_t revision; /**< of its last change; 0: not stated */
 	void *content; /**< private to the adapter; NULL: none */
 };
 
@@ -77,6 +78,9 @@
 	    enum store_kind kind, uint64_t revision, unsigned wait_ms);
 	/** Returns the path of one object. */
 	char *(*object_path)(enum store_kind kind, const char *name);
+	/** Returns the path that removes an object if it has a revision. */
+	char *(*remove_path)(
+	    enum store_kind kind, struct wv_string name, uint64_t revision);
 	/** Returns the path under which objects are created. */
 	char *(*create_path)(enum store_kind kind);
 	/**
--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -144,7 +144,9 @@
 		log_outdated_answer(follower, "list");
 		return false;
 	}
-	if (follower->phase == PHASE_LIST)
+	if (follower->phase == PHASE_REVISIONS)
+		store_apply_revisions_page(follower, page);
+	else if (follower->phase == PHASE_LIST)
 		apply_list_page(follower, page);
 	else
 		apply_changes(follower, page);
--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -96,8 +96,8 @@
 		log_searcher(entry, &searcher);
 }
 
-static void
-apply_vm(struct follower *follower, const struct store_object *object)
+void
+store_apply_vm(struct follower *follower, const struct store_object *object)
 {
 	struct entry *entry = follower->sync->entry;
 	struct vm_entry vm = {0};
@@ -124,8 +124,12 @@
 
 	if (store_is_outdated_list(follower))
 		return;
+	if (follower->phase == PHASE_REVISIONS) {
+		store_apply_revision(follower, object);
+		return;
+	}
 	if (follower->kind == STORE_VMS) {
-		apply_vm(follower, object);
+		store_apply_vm(follower, object);
 		return;
 	}
 	wv_change_list_add(follower->received, object->name,
--- a/entry/store_request.c
+++ b/entry/store_request.c
@@ -8,7 +8,8 @@
 store_is_write(const struct follower *follower)
 {
 	return follower->phase == PHASE_CREATE ||
-	    follower->phase == PHASE_REPLACE;
+	    follower->phase == PHASE_REPLACE ||
+	    follower->phase == PHASE_RESTORE;
 }
 
 static char *
@@ -29,6 +30,13 @@
 	case PHASE_REPLACE:
 		return adapter->object_path(
 		    follower->kind, entry->settings->vm);
+	case PHASE_REVISIONS:
+		return adapter->list_path(
+		    follower->kind, follower->list_after, true);
+	case PHASE_REMOVE:
+		return adapter->remove_path(follower->kind,
+		    follower->cleanup.vm.name, follower->cleanup.revision);
+	case PHASE_RESTORE:
 	case PHASE_CREATE:
 	case PHASE_DONE:
 		break;
@@ -39,21 +47,50 @@
 static const char *
 request_method(const struct follower *follower)
 {
-	if (follower->phase == PHASE_CREATE)
+	switch (follower->phase) {
+	case PHASE_CREATE:
+	case PHASE_RESTORE:
 		return "POST";
-	return follower->phase == PHASE_REPLACE ? "PUT" : "GET";
+	case PHASE_REPLACE:
+		return "PUT";
+	case PHASE_REMOVE:
+		return "DELETE";
+	case PHASE_LIST:
+	case PHASE_FOLLOW:
+	case PHASE_DONE:
+	case PHASE_REVISIONS:
+		break;
+	}
+	return "GET";
+}
+
+/* Returns the registration that the next call writes. Borrowed. */
+static struct vm_entry
+written_entry(const struct follower *follower)
+{
+	const struct entry_settings *settings = follower->sync->entry->settings;
+	const struct wv_peer_address *vm = &follower->cleanup.vm;
+
+	if (follower->phase == PHASE_RESTORE)
+		return (struct vm_entry){
+		    .name = vm->name,
+		    .peers = vm->address,
+		    .zone = vm->zone,
+		    .capacity = vm->capacity,
+		};
+	return (struct vm_entry){
+	    .name = wv_string_borrow(settings->vm),
+	    .peers = wv_string_borrow(settings->peers),
+	    .zone = wv_string_borrow(settings->zone),
+	    .capacity = settings->capacity,
+	};
 }
 
 GString *
 store_compose_request(const struct follower *follower)
 {
 	const struct entry *entry = follower->sync->entry;
-	struct vm_entry vm = {
-	    .name = wv_string_borrow(entry->settings->vm),
-	    .peers = wv_string_borrow(entry->settings->peers),
-	    .zone = wv_string_borrow(entry->settings->zone),
-	    .capacity = entry->settings->capacity,
-	};
+	struct vm_entry vm = written_entry(follower);
 	GString *request = g_string_new(NULL);
 	char *path = request_path(follower);
 	struct wv_string body;
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -177,6 +177,11 @@
     struct follower *follower, const char *why, unsigned status, bool timed_out)
 {
 	store_close_client(follower);
+	if (store_is_cleanup(follower)) {
+		store_fail_cleanup(follower, why, status);
+		event_del(follower->timer);
+		return;
+	}
 	if (follower->from_peer)
 		record_peer_failure(follower, why, status);
 	else
@@ -210,6 +215,8 @@
 static bool
 handle_answer(struct follower *follower, const struct message *answer)
 {
+	if (store_is_cleanup(follower))
+		return store_handle_cleanup_answer(follower, answer);
 	if (store_is_write(follower))
 		return handle_write_answer(follower, answer->status);
 	if (answer->status == 410 && follower->phase == PHASE_FOLLOW) {
@@ -393,6 +400,7 @@
 
 	if (now - entry->started_at < WATCH_START_DELAY)
 		return;
+	store_cleanup(sync);
 	if (!sync->caught_up && !role.is_watcher &&
 	    now - entry->started_at >= CATCH_UP_DELAY)
 		catch_up(sync);
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -8,6 +8,7 @@
 #include "entry/client.h"
 #include "entry/entry.h"
 #include "wisteriavane/change_log.h"
+#include "wisteriavane/removal.h"
 
 /**
  * How long a watch call waits for changes, ms. A store that no longer answers
@@ -33,7 +34,10 @@
 	PHASE_LIST, /**< reads the list, page by page */
 	PHASE_REPLACE, /**< replaces an old registration of this VM */
 	PHASE_FOLLOW, /**< reads changes, from the store or another VM */
-	PHASE_DONE /**< makes no further calls */
+	PHASE_DONE, /**< makes no calls until one is due */
+	PHASE_REVISIONS, /**< reads the revisions of VMs' registrations */
+	PHASE_REMOVE, /**< removes the registration of a removed VM */
+	PHASE_RESTORE /**< writes a registration that was removed */
 };
 
 /** Synchronizes one kind of objects, over a connection of its own. */
@@ -61,6 +65,7 @@
 	const struct store_page *page; /**< borrowed: of the same answer */
 	struct wv_change_log *changes; /**< owned: objects, recent changes */
 	unsigned failures; /**< failed calls of the store in a row */
+	struct wv_removal_call cleanup; /**< in a phase of the cleanup */
 	unsigned stale_lists; /**< lists of VMs read that lack this VM */
 	wv_msec backoff; /**< delay after the next failure, ms */
 };
@@ -94,7 +99,7 @@
  */
 bool store_reads_stale_list(const struct follower *follower);
 
-/** Returns whether the next call creates or replaces this VM's registration. */
+/** Returns whether the next call writes a registration. */
 bool store_is_write(const struct follower *follower);
 
 /** Composes the request of the next call; the caller owns it. */
@@ -131,6 +136,43 @@
  */
 bool store_apply_body(struct follower *follower, const struct message *answer);
 
+/**
+ * Begins the call that is due to remove registrations of removed VMs, or to
+ * write this VM's one anew after a long isolation, unless another call is in
+ * progress. To be called in each round of reports.
+ */
+void store_cleanup(struct store_sync *sync);
+
+/** Returns whether the next call, or the one in progress, is such a call. */
+bool store_is_cleanup(const struct follower *follower);
+
+/** Handles the answer to such a call; returns false if the call has failed. */
+bool store_handle_cleanup_answer(
+    struct follower *follower, const struct message *answer);
+
+/**
+ * Ends such a call that has failed.
+ *
+ * @param status  of the answer; 0 if there was none
+ */
+void store_fail_cleanup(
+    struct follower *follower, const char *why, unsigned status);
+
+/** Applies a registration of a VM to the table of VMs. */
+void store_apply_vm(
+    struct follower *follower, const struct store_object *object);
+
+/**
+ * Applies a registration of the list that is read for its revisions. VMs that
+ * are not known yet are added to the table of VMs.
+ */
+void store_apply_revision(
+    struct follower *follower, const struct store_object *object);
+
+/** Applies a page of that list. */
+void store_apply_revisions_page(
+    struct follower *follower, const struct store_page *page);
+
 /** Returns whether changes are read from the store itself. */
 bool store_may_watch(const struct follower *follower);
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -20,6 +20,11 @@
  * fraction of the limits.
  */
 #define PEER_RETENTION 120000.0
+/**
+ * Silence of all other VMs after which this VM writes its entry again once it
+ * hears one, ms: half of the time after which others may remove the entry.
+ */
+#define ISOLATION_TIME 300000.0
 /** With fewer VMs of that capacity than this, all VMs are preferred. */
 #define MIN_PREFERRED 3
 /**
@@ -66,6 +71,8 @@
 	peers->own_capacity = capacity;
 	peers->table = g_hash_table_new_full(
 	    wv_string_key_hash, wv_string_key_equal, NULL, peer_destroy);
+	peers->removal = wv_removal_create();
+	peers->heard_at = -WV_MSEC_NEVER;
 	return peers;
 }
 
@@ -75,6 +82,7 @@
 	g_ptr_array_unref(peers->hubs);
 	g_ptr_array_unref(peers->caller_zones);
 	g_hash_table_unref(peers->table);
+	wv_removal_destroy(peers->removal);
 	wv_string_clear(&peers->own_name);
 	wv_string_clear(&peers->own_zone);
 	g_free(peers);
@@ -207,6 +215,39 @@
 	}
 }
 
+/* Notes that a VM was heard, and whether none was for a long time. */
+static void
+note_heard(
+    struct wv_peers *peers, wv_msec now, const struct wv_peer_report *report)
+{
+	struct wv_peer_address address = {
+	    .name = report->name,
+	    .address = report->peer_address,
+	    .zone = report->zone,
+	    .capacity = report->capacity,
+	};
+
+	wv_removal_hear(peers->removal, now, &address);
+	peers->was_isolated |= peers->heard_at > -WV_MSEC_NEVER &&
+	    now - peers->heard_at > ISOLATION_TIME;
+	peers->heard_at = now;
+}
+
+bool
+wv_peers_take_isolation(struct wv_peers *peers)
+{
+	bool was_isolated = peers->was_isolated;
+
+	peers->was_isolated = false;
+	return was_isolated;
+}
+
+struct wv_removal *
+wv_peers_removal(struct wv_peers *peers)
+{
+	return peers->removal;
+}
+
 bool
 wv_peers_apply_report(
     struct wv_peers *peers, wv_msec now, const struct wv_peer_report *report)
@@ -223,6 +264,7 @@
 	if (is_stale(peer, report) && peer->heard_at == peer->last_seen &&
 	    peer_is_alive(peer, now))
 		return false;
+	note_heard(peers, now, report);
 	copy_state(peer, report);
 	for (int i = 0; i < WV_PEER_DATA_COUNT; i++)
 		peer->revisions[i] = report->revisions[i];
@@ -412,22 +454,42 @@
 		g_ptr_array_add(peers->caller_zones, g_strdup(zones->pdata[i]));
 }
 
-static gboolean
-is_expired(gpointer key, gpointer value, gpointer data)
+static bool
+is_expired(const struct peer *peer, wv_msec now)
 {
-	const struct peer *peer = value;
-	wv_msec now = *(const wv_msec *)data;
-
-	(void)key;
 	return peer->asked_at != WV_MSEC_NEVER &&
 	    now - peer->asked_at > PEER_RETENTION &&
 	    now - peer->last_seen > PEER_RETENTION;
 }
 
+/* Forgets VMs that have not answered for too long. */
+static void
+forget_expired(struct wv_peers *peers, wv_msec now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct peer *peer = value;
+		struct wv_peer_address address = {
+		    .name = peer->name,
+		    .address = peer->address,
+		    .zone = peer->zone,
+		    .capacity = peer->capacity,
+		};
+
+		if (!is_expired(peer, now))
+			continue;
+		wv_removal_add(peers->removal, now, &address);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 void
 wv_peers_update(struct wv_peers *peers, wv_msec now)
 {
-	g_hash_table_foreach_remove(peers->table, is_expired, &now);
+	forget_expired(peers, now);
 	peers_update_hubs(peers, now);
 }
 
--- a/src/peers_hubs.c
+++ b/src/peers_hubs.c
@@ -71,6 +71,21 @@
 		   peers->own_hash) < 0;
 }
 
+bool
+peers_knows_stronger_hub(const struct wv_peers *peers, wv_msec now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (peers_is_live_hub(value, now) &&
+		    peers_is_stronger(peers, value))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Compares two candidates. Hubs that are alive come first: any number of the
  * others may have been removed long ago.
--- a/src/peers_private.h
+++ b/src/peers_private.h
@@ -7,6 +7,7 @@
 
 #include "src/private.h"
 #include "wisteriavane/peers.h"
+#include "wisteriavane/removal.h"
 
 /** Hubs that a leaf is attached to; with two, the loss of one costs nothing. */
 #define N_ATTACHMENTS 2
@@ -70,6 +71,9 @@
 	    rounds_without_hub; /**< rounds since a stronger hub was alive */
 	guint introduced; /**< VMs that it was the turn of so far */
 	bool report_due; /**< a leaf reports in the next round */
+	struct wv_removal *removal; /**< owned: VMs that were forgotten */
+	wv_msec heard_at; /**< last report of any VM; -WV_MSEC_NEVER: none */
+	bool was_isolated; /**< none came for a long time before it */
 };
 
 /** Returns whether a VM has been heard of recently. */
@@ -99,6 +103,9 @@
 /** Returns whether this VM, as a leaf, is attached to a hub. */
 bool peers_is_attached_to(const struct wv_peers *peers, const struct peer *hub);
 
+/** Returns whether a hub is alive that precedes this VM in that order. */
+bool peers_knows_stronger_hub(const struct wv_peers *peers, wv_msec now);
+
 /** Returns whether the VM with a hash is one of the other hubs. */
 bool peers_has_hub(const struct wv_peers *peers, uint64_t hash);
 
--- a/src/peers_reports.c
+++ b/src/peers_reports.c
@@ -28,6 +28,11 @@
 #define MIN_SEARCH 4
 /** Number of times that it doubles: a round's reports are a burst. */
 #define MAX_SEARCH_DOUBLINGS 7
+/**
+ * Other VMs that must be alive for this one to remove entries of silent ones: a
+ * VM that hears nobody may be the one that is cut off.
+ */
+#define MIN_HEARD 2
 /** Shortest time between two lists of all hubs to the same hub, ms. */
 #define HUB_LIST_INTERVAL 1000.0
 
@@ -303,22 +308,6 @@
 	peers->introduced += n;
 }
 
-/* Whether a hub is alive that precedes this VM in the order of strength. */
-static bool
-knows_stronger_hub(const struct wv_peers *peers, wv_msec now)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, peers->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (peers_is_live_hub(value, now) &&
-		    peers_is_stronger(peers, value))
-			return true;
-	}
-	return false;
-}
-
 /*
  * Asks VMs that were never heard of, as long as no stronger hub is alive. Of
  * the listed VMs any number may have been removed long ago. So a VM either
@@ -332,8 +321,9 @@
 	gpointer value;
 	unsigned most, left;
 
-	peers->rounds_without_hub =
-	    knows_stronger_hub(peers, now) ? 0 : peers->rounds_without_hub + 1;
+	peers->rounds_without_hub = peers_knows_stronger_hub(peers, now)
+	    ? 0
+	    : peers->rounds_without_hub + 1;
 	if (!is_searching(peers))
 		return;
 	most = MIN_SEARCH << MIN(peers->rounds_without_hub - SEARCH_DELAY - 1,
@@ -355,6 +345,42 @@
 		peers->rounds_without_hub = SEARCH_DELAY;
 }
 
+/*
+ * Whether this VM may remove entries of others from the store: it is the
+ * strongest hub and hears others, so it is not itself cut off from all.
+ */
+static bool
+may_remove_entries(const struct wv_peers *peers, wv_msec now)
+{
+	GHashTableIter iter;
+	unsigned heard = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		heard += peer_is_alive(value, now);
+	return peers->is_hub && heard >= MIN_HEARD &&
+	    !peers_knows_stronger_hub(peers, now);
+}
+
+/* Adds VMs that were forgotten and whose entries may have to be removed. */
+static void
+add_forgotten(struct wv_peers *peers, wv_msec now, GArray *targets)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+
+	wv_removal_set_permitted(
+	    peers->removal, now, may_remove_entries(peers, now));
+	wv_removal_collect_questions(peers->removal, now, addresses);
+	for (guint i = 0; i < addresses->len; i++) {
+		struct wv_peer_target target = {
+		    .address = addresses->pdata[i], .introduces = true};
+
+		g_array_append_val(targets, target);
+	}
+	g_ptr_array_unref(addresses);
+}
+
 struct wv_peer_target
 wv_peers_answer_introduction(
     const struct wv_peers *peers, const struct wv_peer_report *hub)
@@ -381,5 +407,6 @@
 	add_others(peers, now, own, targets);
 	add_introductions(peers, now, targets);
 	add_search(peers, now, targets);
+	add_forgotten(peers, now, targets);
 	peers->rounds++;
 }
--- a/test/peer_fleet.h
+++ b/test/peer_fleet.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "wisteriavane/peers.h"
+#include "wisteriavane/removal.h"
 
 /** Step of the virtual time, ms. */
 #define FLEET_STEP 10.0
--- a/test/test_peers_fleet.c
+++ b/test/test_peers_fleet.c
@@ -33,6 +33,10 @@
 #define N_PRESENT 6
 /** Time after its start in which a VM among removed ones must get news, ms. */
 #define SEARCH_TIME 5000
+/** VMs in a test of removals of entries, and its times, ms. */
+#define N_CLEANED 24
+#define REMOVAL_TIME (20 * 60000.0)
+#define CALL_CHECK_TIME 1000.0
 /** Time in which all VMs must have a change that the watchers have, ms. */
 #define SPREAD_TIME 2000
 
@@ -391,6 +395,59 @@
 	}
 }
 
+/* Returns how many calls of the store VMs begin in a time, ms. */
+static unsigned
+count_calls(struct fleet *fleet, wv_msec time, size_t *caller)
+{
+	wv_msec end = fleet->now + time;
+	unsigned n = 0;
+
+	while (fleet->now < end) {
+		fleet_run(fleet, CALL_CHECK_TIME);
+		for (size_t i = 0; i < fleet->n; i++) {
+			struct wv_removal *removal = fleet->vms[i].peers == NULL
+			    ? NULL
+			    : wv_peers_removal(fleet->vms[i].peers);
+
+			if (removal == NULL ||
+			    wv_removal_next_call(removal, fleet->now, true)
+				    .kind == WV_REMOVAL_NONE)
+				continue;
+			wv_removal_end_call(
+			    removal, fleet->now, WV_REMOVAL_REFUSED);
+			g_assert_true(n == 0 || *caller == i);
+			*caller = i;
+			n++;
+		}
+	}
+	return n;
+}
+
+/*
+ * Guards against live VMs that are taken for removed ones, since leaves report
+ * to two hubs only and datagrams get lost, and against several VMs that remove
+ * entries at once. A VM that hears nobody removes none.
+ */
+static void
+test_one_removes(void)
+{
+	struct fleet *fleet = fleet_create(N_CLEANED, N_CLEANED / 4, 2, 0.05);
+	size_t caller = N_CLEANED, next = N_CLEANED;
+
+	g_assert_cmpuint(count_calls(fleet, REMOVAL_TIME, &caller), ==, 0);
+	fleet_kill(fleet, N_CLEANED - 1);
+	g_assert_cmpuint(count_calls(fleet, REMOVAL_TIME, &caller), >, 0);
+	fleet_kill(fleet, caller);
+	g_assert_cmpuint(count_calls(fleet, REMOVAL_TIME, &next), >, 0);
+	g_assert_cmpuint(next, !=, caller);
+	for (size_t i = 0; i < fleet->n; i++) {
+		if (i != next)
+			fleet_kill(fleet, i);
+	}
+	g_assert_cmpuint(count_calls(fleet, REMOVAL_TIME, &caller), ==, 0);
+	fleet_destroy(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -412,5 +469,6 @@
 	    "/peers-fleet/news-reach-leaves", test_news_reach_leaves);
 	g_test_add_func("/peers-fleet/near-sources", test_near_sources);
 	g_test_add_func("/peers-fleet/removed-vms", test_removed_vms);
+	g_test_add_func("/peers-fleet/one-removes", test_one_removes);
 	return g_test_run();
 }
--- a/wisteriavane/peers.h
+++ b/wisteriavane/peers.h
@@ -16,6 +16,7 @@
 #include "wisteriavane/types.h"
 
 struct wv_peers;
+struct wv_removal;
 
 /** Kinds of store data whose changes VMs forward to each other. */
 enum wv_peer_data { WV_PEER_ROUTES, WV_PEER_SEARCHERS, WV_PEER_DATA_COUNT };
@@ -202,6 +203,19 @@
  */
 bool wv_peers_has_near_source(const struct wv_peers *peers, wv_msec now);
 
+/**
+ * Returns the VMs that were forgotten, whose entries this VM may have to remove
+ * from the store (wisteriavane/removal.h). Borrowed.
+ */
+struct wv_removal *wv_peers_removal(struct wv_peers *peers);
+
+/**
+ * Returns whether this VM has heard another one again after it had heard none
+ * for so long that its entry in the store may have been removed. Returns true
+ * once for each such silence.
+ */
+bool wv_peers_take_isolation(struct wv_peers *peers);
+
 /** Returns the interval between rounds of reports, ms. */
 wv_msec wv_peers_report_interval(const struct wv_peers *peers);
 
