--- a/src/json_text.c
+++ b/src/json_text.c
@@ -3,8 +3,6 @@
  * Validation of JSON texts beyond that of json-glib's parser, and access to
  * parts of texts that it rejects.
  */
-#include <string.h>
-
 #include "src/private.h"
 #include "wisteriavane/json_text.h"
 
