Close links on which no VM names itself

What VMs would see: anybody who can reach the port of other VMs could keep them out. With 64 descriptors the share of links is 4; 80 connections that send nothing kept a VM from connecting for as long as they stayed open.

Cause: links.c had no idle timeout for links that others open, and closed a new connection when their share was full. The limit of 1024 links also counted both directions together, so strangers could take the room of links that this VM opens.

Change: a link that others opened is identified by its first frame of this deployment. One that is not identified within 5 s is closed; a VM connects when it has a frame to send, so the time is for the transfer of the longest frame. When the share is full, the oldest unidentified link yields to a new one, a line in the log says so, and the counter links_unidentified counts. A connection is accepted after the events of all links of a round were handled: frames that have arrived are read before their link could yield, and no event refers to a link that is gone. Links that this VM opens have a limit of their own now; there is no test of this limit.

What remains: if VMs have named themselves on all links of the share, a new connection is closed as before.

Tests: /daemon-start/vm-among-strangers failed on the old code because no answer came (test_daemon_connections.c, exchange_heartbeat(fd, 1)), silent-link and half-frame because the connection was still open after 20 s. All pass now.

--- a/daemon/links.c
+++ b/daemon/links.c
@@ -12,14 +12,20 @@
 #include "daemon/links_private.h"
 #include "http/address.h"
 
-/** Maximum number of connections of one VM. */
-#define MAX_LINKS 1024
+/** Maximum number of connections that this VM opens. */
+#define MAX_OPENED_LINKS 1024
 /** Maximum poll timeout of the thread, ms. */
 #define MAX_SLEEP_MS 100
 /** Maximum poll timeout while any request is forwarded or parked, ms. */
 #define MAX_SLEEP_PENDING_MS 5
 /** Maximum time for establishing a connection, ms. */
 #define CONNECT_TIMEOUT_MS 1000.0
+/**
+ * Maximum time from accepting a connection to the end of the first frame, ms. A
+ * VM connects when it has a frame to send, so this is the time to transfer the
+ * longest frame.
+ */
+#define IDENTIFY_TIMEOUT_MS 5000.0
 /** Maximum unsent bytes of a link; a link that exceeds them is closed. */
 #define MAX_UNSENT_BYTES (8u << 20)
 /**
@@ -126,7 +132,8 @@
 	apr_status_t status;
 	apr_pool_t *pool;
 
-	if (link != NULL || g_hash_table_size(links->by_id) >= MAX_LINKS)
+	if (link != NULL ||
+	    g_hash_table_size(links->by_address) >= MAX_OPENED_LINKS)
 		return link;
 	apr_pool_create(&pool, NULL);
 	target = parse_address(address, pool);
@@ -297,8 +304,10 @@
 			return false;
 		if (code == WV_OK && frame == NULL)
 			return true;
-		if (code == WV_OK)
+		if (code == WV_OK) {
+			link->identified = true;
 			dispatch_frame(links, id, frame);
+		}
 	}
 }
 
@@ -374,6 +383,65 @@
 		links->accept_again = 0;
 }
 
+/* Returns whether a link is one that others opened without naming a VM yet. */
+static bool
+is_unidentified(const struct link *link)
+{
+	/* Links with an address are those that this VM opened. */
+	return link->address.length == 0 && !link->identified;
+}
+
+static struct link *
+find_oldest_unidentified(struct links *links)
+{
+	struct link *oldest = NULL;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, links->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct link *link = value;
+
+		if (is_unidentified(link) &&
+		    (oldest == NULL || link->id < oldest->id))
+			oldest = link;
+	}
+	return oldest;
+}
+
+static void
+close_unidentified(struct link *link)
+{
+	wv_counter_add(&link->links->daemon->stats.links_unidentified, 1);
+	link_close(link);
+}
+
+/*
+ * Makes room for one more link that others open: if their share is full, closes
+ * the oldest one on which no VM has named itself. Returns false if VMs have
+ * named themselves on all links.
+ */
+static bool
+make_room(struct links *links)
+{
+	size_t share = links->daemon->shares.peers;
+	size_t accepted = g_hash_table_size(links->by_id) -
+	    g_hash_table_size(links->by_address);
+	bool crowded = accepted >= share;
+	struct link *oldest;
+
+	if (crowded && !links->crowded)
+		g_warning(
+		    "the share of %zu connections of other VMs is full", share);
+	links->crowded = crowded;
+	if (!crowded)
+		return true;
+	oldest = find_oldest_unidentified(links);
+	if (oldest != NULL)
+		close_unidentified(oldest);
+	return oldest != NULL;
+}
+
 static void
 accept_link(struct links *links)
 {
@@ -389,11 +457,7 @@
 		return;
 	}
 	links->accept_failed = false;
-	/* Links by address are those that this VM opened. */
-	if (g_hash_table_size(links->by_id) >= MAX_LINKS ||
-	    g_hash_table_size(links->by_id) -
-		    g_hash_table_size(links->by_address) >=
-		links->daemon->shares.peers) {
+	if (!make_room(links)) {
 		apr_socket_close(socket);
 		apr_pool_destroy(pool);
 		return;
@@ -401,24 +465,39 @@
 	link_create(links, pool, socket);
 }
 
-/* Closes at most one link whose connect has timed out. */
+/* Returns whether a link has not been established in time. */
+static bool
+has_timed_out(const struct link *link, wv_msec now)
+{
+	wv_msec age = now - link->opened;
+
+	if (link->connecting)
+		return age > CONNECT_TIMEOUT_MS;
+	return is_unidentified(link) && age > IDENTIFY_TIMEOUT_MS;
+}
+
+/* Closes links whose connect, or whose first frame, has timed out. */
 static void
 close_timed_out(struct links *links, wv_msec now)
 {
+	GPtrArray *timed_out = g_ptr_array_new();
 	GHashTableIter iter;
-	struct link *timed_out = NULL;
 	void *value;
 
 	g_hash_table_iter_init(&iter, links->by_id);
-	while (
-	    timed_out == NULL && g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct link *link = value;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (has_timed_out(value, now))
+			g_ptr_array_add(timed_out, value);
+	}
+	for (guint i = 0; i < timed_out->len; i++) {
+		struct link *link = timed_out->pdata[i];
 
-		if (link->connecting && now - link->opened > CONNECT_TIMEOUT_MS)
-			timed_out = link;
+		if (link->connecting)
+			link_close(link);
+		else
+			close_unidentified(link);
 	}
-	if (timed_out != NULL)
-		link_close(timed_out);
+	g_ptr_array_unref(timed_out);
 }
 
 static void
@@ -426,6 +505,7 @@
 {
 	const apr_pollfd_t *events;
 	apr_int32_t n = 0;
+	bool connected = false;
 	int timeout =
 	    forwards_has_pending(links) ? MAX_SLEEP_PENDING_MS : MAX_SLEEP_MS;
 
@@ -435,11 +515,14 @@
 		return;
 	for (apr_int32_t i = 0; i < n; i++) {
 		if (events[i].client_data == NULL)
-			accept_link(links);
+			connected = true;
 		else
 			link_handle_event(
 			    events[i].client_data, events[i].rtnevents);
 	}
+	/* May close a link, so it comes after the events of all links. */
+	if (connected)
+		accept_link(links);
 }
 
 static void *
@@ -476,8 +559,9 @@
 
 	links->daemon = daemon;
 	apr_pool_create(&links->pool, NULL);
-	if (apr_pollset_create(&links->pollset, MAX_LINKS + 1, links->pool,
-		APR_POLLSET_WAKEABLE) != APR_SUCCESS ||
+	if (apr_pollset_create(&links->pollset,
+		MAX_OPENED_LINKS + (apr_uint32_t)daemon->shares.peers + 1,
+		links->pool, APR_POLLSET_WAKEABLE) != APR_SUCCESS ||
 	    !add_listener(links, listener)) {
 		wv_status_set(status, WV_INTERNAL,
 		    "no descriptors left for connections of other VMs");
--- a/daemon/links_private.h
+++ b/daemon/links_private.h
@@ -21,6 +21,7 @@
 	apr_socket_t *socket;
 	apr_pollfd_t poll;
 	bool connecting;
+	bool identified; /* a frame of this deployment has arrived on it */
 	wv_msec opened; /* monotonic, ms */
 	GByteArray *out; /* output buffer */
 	size_t written; /* bytes of out that were sent */
@@ -35,6 +36,7 @@
 	apr_pollset_t *pollset;
 	apr_socket_t *listener;
 	bool accept_failed; /* since the last connection was accepted */
+	bool crowded; /* the share was full at the last accepted connection */
 	wv_msec
 	    accept_again; /* monotonic, ms; 0 while connections are accepted */
 	GThread *thread;
--- a/daemon/stats.h
+++ b/daemon/stats.h
@@ -44,6 +44,7 @@
 	X(heartbeats_received) \
 	X(acks_received)       \
 	X(frames_refused)      \
+	X(links_unidentified)  \
 	X(peer_bytes_sent)     \
 	X(peer_bytes_received) \
 	X(leases_taken)        \
--- a/test/test_daemon_connections.c
+++ b/test/test_daemon_connections.c
@@ -4,6 +4,7 @@
  */
 #include <time.h>
 
+#include "proto/frame.h"
 #include "test/cluster/cluster.h"
 #include "test/daemon_fixture.h"
 
@@ -156,6 +157,89 @@
 	server_destroy(server);
 }
 
+/*
+ * Sends the first frame of a VM to the daemon, or another one with a greater
+ * sequence, and returns whether the daemon acknowledges it.
+ */
+static bool
+exchange_heartbeat(int fd, uint64_t sequence)
+{
+	struct pollfd poll_fd = {fd, POLLIN, 0};
+	Wisteriavane__Frame frame = WISTERIAVANE__FRAME__INIT;
+	Wisteriavane__Heartbeat body = WISTERIAVANE__HEARTBEAT__INIT;
+	GByteArray *bytes = g_byte_array_new();
+	struct wv_status status = {WV_OK, ""};
+	char answer[256];
+	ssize_t n;
+
+	frame.deployment = (char *)"test";
+	frame.protocol = WV_FRAME_PROTOCOL_VERSION;
+	frame.vm = (char *)"vm1";
+	frame.incarnation = 1;
+	frame.body_case = WISTERIAVANE__FRAME__BODY_HEARTBEAT;
+	frame.heartbeat = &body;
+	body.sequence = sequence;
+	g_assert_cmpint(wv_frame_encode(&frame, bytes, &status), ==, WV_OK);
+	n = send(fd, bytes->data, bytes->len, MSG_NOSIGNAL);
+	g_byte_array_unref(bytes);
+	return n > 0 && poll(&poll_fd, 1, EVENT_TIMEOUT) == 1 &&
+	    read(fd, answer, sizeof(answer)) > WV_FRAME_HEADER_SIZE;
+}
+
+/*
+ * Strangers that connect to the port of other VMs and send nothing must not
+ * keep VMs out, neither those that come later nor those that are connected.
+ */
+static void
+test_vm_among_strangers(void)
+{
+	struct server *server = start_with_few_descriptors();
+	int before[N_IDLE], after[N_IDLE];
+	int fd;
+
+	open_idle(server->addresses[2], before, N_IDLE);
+	open_idle(server->addresses[2], &fd, 1);
+	g_assert_true(exchange_heartbeat(fd, 1));
+	wait_logged(server, "connections of other VMs is full");
+	open_idle(server->addresses[2], after, N_IDLE);
+	run_for(server, OBSTACLE_TIME_US);
+	g_assert_true(exchange_heartbeat(fd, 2));
+	close_all(before, N_IDLE);
+	close_all(after, N_IDLE);
+	close(fd);
+	stop_server(server);
+	server_destroy(server);
+}
+
+/*
+ * A connection to the port of other VMs on which no VM names itself must not
+ * stay open: neither one that is silent nor one that sends part of a frame. One
+ * on which a VM has named itself stays.
+ */
+static void
+test_unidentified_link(gconstpointer data)
+{
+	/* The length of a frame and the first byte of its content. */
+	static const char part[] = {0, 0, 1, 0, 10};
+	ssize_t sent = GPOINTER_TO_INT(data);
+	struct server *server = start_server();
+	struct pollfd poll_fd = {-1, POLLIN, 0};
+	int fds[2];
+	char byte;
+
+	open_idle(server->addresses[2], fds, G_N_ELEMENTS(fds));
+	g_assert_true(exchange_heartbeat(fds[1], 1));
+	g_assert_cmpint(
+	    send(fds[0], part, (size_t)sent, MSG_NOSIGNAL), ==, sent);
+	poll_fd.fd = fds[0];
+	g_assert_cmpint(poll(&poll_fd, 1, EVENT_TIMEOUT), ==, 1);
+	g_assert_cmpint(read(fds[0], &byte, 1), ==, 0);
+	g_assert_true(exchange_heartbeat(fds[1], 2));
+	close_all(fds, G_N_ELEMENTS(fds));
+	stop_server(server);
+	server_destroy(server);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -169,5 +253,11 @@
 	    GSIZE_TO_POINTER(1), test_idle_connections);
 	g_test_add_data_func("/daemon-start/idle-peers", GSIZE_TO_POINTER(2),
 	    test_idle_connections);
+	g_test_add_func(
+	    "/daemon-start/vm-among-strangers", test_vm_among_strangers);
+	g_test_add_data_func("/daemon-start/silent-link", GINT_TO_POINTER(0),
+	    test_unidentified_link);
+	g_test_add_data_func("/daemon-start/half-frame", GINT_TO_POINTER(5),
+	    test_unidentified_link);
 	return g_test_run();
 }
