End with 0 when a stop was asked for before a start failed

What launchers saw: a SIGTERM while a server starts, before its settings are read, and settings that are wrong: exit code 2, a failure, although docs/ OPERATIONS.md says that a stop during a start is a planned one.

Cause: a wrong setting, or an address that can't be listened on, ended the process without a look at pending signals.

Change: when a start fails, signals that are pending are handled first; a stop among them makes the exit code 0. The entry server runs its event loop once without waiting for this, and completes the stop if callers may know its address. An address that fails during a stop no longer changes the exit code. In the daemon, signals_wait_for_stop() took a SIGHUP and missed a SIGTERM that was pending with it: it goes on until no SIGHUP is pending. The faults of the settings are logged as before.

Tests: stop-with-wrong-settings and hangup-stop-wrong-settings, of test_daemon_signals and of test_start_signals, failed on the old code: exit code 2, and no "stopped" in the log. There is no test of an address that is not permitted.

--- a/daemon/signals.c
+++ b/daemon/signals.c
@@ -12,22 +12,32 @@
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000L
 
-bool
-signals_wait_for_stop(wv_msec timeout)
+/* Waits for a signal and takes it; returns its number, or -1 after a time. */
+static int
+take_signal(wv_msec timeout)
 {
 	long ms = (long)timeout;
 	const struct timespec limit = {
 	    ms / MS_PER_S, ms % MS_PER_S * NS_PER_MS};
 	sigset_t signals;
-	int number;
 
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGHUP);
 	sigaddset(&signals, SIGINT);
 	sigaddset(&signals, SIGTERM);
-	number = sigtimedwait(&signals, NULL, &limit);
-	if (number == SIGHUP)
+	return sigtimedwait(&signals, NULL, &limit);
+}
+
+bool
+signals_wait_for_stop(wv_msec timeout)
+{
+	int number = take_signal(timeout);
+
+	/* A SIGHUP is delivered before a stop that is pending, too. */
+	while (number == SIGHUP) {
 		g_message("SIGHUP ignored: the settings are read at the start "
 			  "only; restart the process to change them");
+		number = take_signal(0);
+	}
 	return number == SIGINT || number == SIGTERM;
 }
--- a/daemon/signals.h
+++ b/daemon/signals.h
@@ -12,8 +12,8 @@
 
 /**
  * Waits for a signal and takes it. SIGTERM and SIGINT ask for a stop; a SIGHUP
- * is logged and otherwise ignored, since settings are read at the start only.
- * Main thread only.
+ * is logged and otherwise ignored, since settings are read at the start only,
+ * and the signal that is pending after it is taken too. Main thread only.
  *
  * @param timeout  longest wait, ms; 0 takes only a signal that is pending
  * @return whether the signal asks for a stop
--- a/daemon/start.c
+++ b/daemon/start.c
@@ -48,7 +48,8 @@
 			result = attempt(data, reason);
 	}
 	g_string_free(reason, TRUE);
-	if (stopped)
+	/* Whoever asked for a stop expects the exit code of a stop. */
+	if (stopped || (result == ATTEMPT_FAILED && signals_wait_for_stop(0)))
 		return START_STOPPED;
 	if (waits && result == ATTEMPT_DONE)
 		g_message("start_continues with %s", what);
--- a/entry/main.c
+++ b/entry/main.c
@@ -188,6 +188,8 @@
 {
 	struct process *process = data;
 
+	if (process->entry.stopping)
+		return;
 	process->exit_code = OPTIONS_EXIT_ADDRESS;
 	event_base_loopbreak(process->entry.base);
 }
@@ -335,6 +337,23 @@
 	    "\"reason\":\"the event loop ended\"");
 }
 
+/*
+ * Handles the signals that arrived until a start failed. A stop that was asked
+ * for is completed, and is a success.
+ */
+static void
+end_failed_start(struct process *process)
+{
+	struct entry *entry = &process->entry;
+
+	event_base_loop(entry->base, EVLOOP_NONBLOCK);
+	if (!entry->stopping)
+		return;
+	process->exit_code = EXIT_SUCCESS;
+	if (is_known_to_callers(process))
+		event_base_dispatch(entry->base);
+}
+
 static int
 run(const char *file)
 {
@@ -345,6 +364,8 @@
 	block_signals(false);
 	if (process.exit_code == EXIT_SUCCESS)
 		event_base_dispatch(process.entry.base);
+	if (process.exit_code != EXIT_SUCCESS)
+		end_failed_start(&process);
 	/* A second signal must not interrupt the cleanup. */
 	block_signals(true);
 	check_end(&process);
--- a/test/test_daemon_signals.c
+++ b/test/test_daemon_signals.c
@@ -79,6 +79,25 @@
 	server_destroy(server);
 }
 
+/*
+ * The same if the settings then turn out to be wrong: a launcher that asked for
+ * the stop must not report a failure.
+ */
+static void
+test_stop_with_wrong_settings(gconstpointer data)
+{
+	struct server *server = start_loading();
+
+	set_settings(server, "{\"vm\":\"vm0\"}");
+	if (data != NULL)
+		g_subprocess_send_signal(server->process, SIGHUP);
+	g_subprocess_send_signal(server->process, SIGTERM);
+	finish_loading(server);
+	expect_planned_stop(server);
+	g_assert_nonnull(strstr(server->log->str, "$.callers: is missing"));
+	server_destroy(server);
+}
+
 static void
 test_hangup_and_stop_while_loading(void)
 {
@@ -224,6 +243,10 @@
 	    GINT_TO_POINTER(SIGTERM), test_stop_while_loading);
 	g_test_add_data_func("/daemon-start/interrupt-while-loading",
 	    GINT_TO_POINTER(SIGINT), test_stop_while_loading);
+	g_test_add_data_func("/daemon-start/stop-with-wrong-settings", NULL,
+	    test_stop_with_wrong_settings);
+	g_test_add_data_func("/daemon-start/hangup-stop-wrong-settings",
+	    "SIGHUP", test_stop_with_wrong_settings);
 	g_test_add_func("/daemon-start/hangup-and-stop-while-loading",
 	    test_hangup_and_stop_while_loading);
 	g_test_add_func("/daemon-start/series", test_series);
--- a/test/test_start_signals.c
+++ b/test/test_start_signals.c
@@ -163,6 +163,30 @@
 	fixture_destroy(fixture);
 }
 
+/*
+ * The same if the settings then turn out to be wrong: a launcher that asked for
+ * the stop must not report a failure.
+ */
+static void
+test_stop_with_wrong_settings(gconstpointer data)
+{
+	struct fixture *fixture = fixture_create(WORK_TIME);
+	struct vm *vm = &fixture->vms[0];
+	struct loader loader;
+
+	start_loading(fixture, &loader);
+	g_assert_true(
+	    g_file_set_contents(vm->settings, "{\"vm\":\"vm0\"}", -1, NULL));
+	if (data != NULL)
+		g_subprocess_send_signal(vm->process, SIGHUP);
+	g_subprocess_send_signal(vm->process, SIGTERM);
+	finish_loading(&loader);
+	wait_exited(fixture);
+	g_assert_true(has_logged(vm, "$.callers"));
+	loader_clear(&loader);
+	fixture_destroy(fixture);
+}
+
 /* Sends a random series of the three signals, one of which asks for a stop. */
 static void
 send_series(struct fixture *fixture, GRand *random)
@@ -236,6 +260,10 @@
 	    GINT_TO_POINTER(SIGTERM), test_stop_while_loading);
 	g_test_add_data_func("/start-signals/interrupt-while-loading",
 	    GINT_TO_POINTER(SIGINT), test_stop_while_loading);
+	g_test_add_data_func("/start-signals/stop-with-wrong-settings", NULL,
+	    test_stop_with_wrong_settings);
+	g_test_add_data_func("/start-signals/hangup-stop-wrong-settings",
+	    "SIGHUP", test_stop_with_wrong_settings);
 	g_test_add_func("/start-signals/series", test_series);
 	g_test_add_func("/start-signals/other-signals", test_other_signals);
 	return g_test_run();
