End the entry server for settings that are JSON but no object

What operators saw: with a settings file that holds "[]" the entry server waited for ever for it to heal, while the daemon ended with code 2. By docs/ platform.md what can't heal ends with code 2.

Cause: the entry server took any text that is no JSON object for one that is still being written.

Change: it asks wv_settings_is_json(), as the daemon does: a file that is missing, empty or cut is waited for, JSON that is no object ends the start. A text that nests more than 64 levels deep is not parsed; no beginning of settings does so, so it ends the start too.

--- a/entry/settings.c
+++ b/entry/settings.c
@@ -9,6 +9,7 @@
 #include "entry/settings.h"
 #include "entry/socket.h"
 #include "http/json.h"
+#include "wisteriavane/settings.h"
 
 /** Longest name, bytes; a report to another VM has space for two of them. */
 #define MAX_NAME_BYTES 255
@@ -208,11 +209,12 @@
 	struct entry_settings *settings = NULL;
 	struct wv_string json = {NULL, 0};
 	JsonNode *root = NULL;
+	bool is_read = read_file(file, &json, faults);
 
-	if (read_file(file, &json, faults))
+	if (is_read)
 		root = parse_object(json, faults);
 	if (whole != NULL)
-		*whole = root != NULL;
+		*whole = is_read && wv_settings_is_json(json);
 	if (root != NULL) {
 		settings = read_object(json_node_get_object(root), faults);
 		json_node_unref(root);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -42,8 +42,9 @@
 /**
  * Like entry_settings_parse(), from a file; an unreadable file is a fault.
  *
- * @param whole  may be NULL; receives whether the file could be read and holds
- *               a JSON object, so that it is not one that is being written
+ * @param whole  may be NULL; receives whether the file could be read and is
+ *               JSON, so that it is not one that is being written; see
+ *               wv_settings_is_json()
  */
 struct entry_settings *entry_settings_read(
     const char *file, GPtrArray *faults, bool *whole);
--- a/src/settings.c
+++ b/src/settings.c
@@ -16,6 +16,8 @@
 #define MAX_TOKEN_LENGTH 256
 /* Size of the longest IPv4 address with port, in bytes, including the NUL. */
 #define ADDRESS_SIZE 22
+/* Deepest nesting of objects and arrays that is parsed; settings have one. */
+#define MAX_DEPTH 64
 
 enum field_kind {
 	FIELD_NAME,
@@ -266,12 +268,16 @@
 bool
 wv_settings_is_json(struct wv_string json)
 {
-	JsonParser *parser = json_parser_new_immutable();
+	JsonParser *parser;
+	bool valid;
+
+	if (!wv_json_text_is_shallow(json, MAX_DEPTH))
+		return true;
+	parser = json_parser_new_immutable();
 	/* json-glib accepts an empty text, which has no root. */
-	bool valid = json_parser_load_from_data(
-			 parser, json.data, (gssize)json.length, NULL) &&
+	valid = json_parser_load_from_data(
+		    parser, json.data, (gssize)json.length, NULL) &&
 	    json_parser_get_root(parser) != NULL;
-
 	g_object_unref(parser);
 	return valid;
 }
--- a/test/test_entry_settings.c
+++ b/test/test_entry_settings.c
@@ -4,6 +4,8 @@
  */
 #include <string.h>
 
+#include <glib/gstdio.h>
+
 #include "entry/settings.h"
 
 #define VALID                                                              \
@@ -124,6 +126,36 @@
 	g_string_free(text, TRUE);
 }
 
+/*
+ * A server waits for settings that are not whole and ends if they are wrong: a
+ * file that is replaced in place may be seen after each of its bytes.
+ */
+static void
+test_cut_file(void)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	char *dir = g_dir_make_tmp("wisteriavane-XXXXXX", NULL);
+	char *file = g_build_filename(dir, "settings.json", NULL);
+	bool whole = true;
+
+	for (size_t n = 0; n < strlen(VALID); n++) {
+		g_assert_true(
+		    g_file_set_contents(file, VALID, (gssize)n, NULL));
+		g_assert_null(entry_settings_read(file, faults, &whole));
+		g_assert_false(whole);
+	}
+	g_assert_true(g_file_set_contents(file, "[]", -1, NULL));
+	g_assert_null(entry_settings_read(file, faults, &whole));
+	g_assert_true(whole);
+	g_unlink(file);
+	g_assert_null(entry_settings_read(file, faults, &whole));
+	g_assert_false(whole);
+	g_rmdir(dir);
+	g_free(file);
+	g_free(dir);
+	g_ptr_array_unref(faults);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -133,5 +165,6 @@
 	g_test_add_func("/entry-settings/all", test_all_faults);
 	g_test_add_func("/entry-settings/names", test_names);
 	g_test_add_func("/entry-settings/update", test_update);
+	g_test_add_func("/entry-settings/cut-file", test_cut_file);
 	return g_test_run();
 }
--- a/test/test_start_obstacles.c
+++ b/test/test_start_obstacles.c
@@ -14,6 +14,9 @@
 
 /** How long an obstacle lasts after the start, ms. */
 #define OBSTACLE_TIME 500
+/** The beginning of a text that nests too deeply, 65 levels. */
+#define DEEP_8 "[[[[[[[["
+#define DEEP DEEP_8 DEEP_8 DEEP_8 DEEP_8 DEEP_8 DEEP_8 DEEP_8 DEEP_8 "["
 /** Limit of the size of the log file in its test, bytes. */
 #define MAX_LOG_SIZE 64
 
@@ -233,23 +236,30 @@
 	fixture_destroy(fixture);
 }
 
+/* Settings that are wrong, and a text that the log must have. */
+struct wrong {
+	const char *json;
+	const char *logged;
+};
+
 /* A wrong setting can't heal: an exit code of its own, and a line that tells.
  */
 static void
-test_wrong_setting(void)
+test_wrong_setting(gconstpointer data)
 {
+	const struct wrong *wrong = data;
 	struct fixture *fixture = fixture_create(WORK_TIME);
 	struct vm *vm = &fixture->vms[0];
 
 	prepare_vm(fixture, 0);
-	g_assert_true(g_file_set_contents(
-	    vm->settings, "{\"vm\":\"vm0\",\"zone\":\"z\"}", -1, NULL));
+	g_assert_true(g_file_set_contents(vm->settings, wrong->json, -1, NULL));
 	spawn_vm(fixture, 0);
+	g_assert_true(wait_logged_within(
+	    fixture, vm, "\"event\":\"start_failed\"", EVENT_TIMEOUT));
 	g_assert_true(g_subprocess_wait(vm->process, NULL, NULL));
 	g_assert_true(g_subprocess_get_if_exited(vm->process));
 	g_assert_cmpint(g_subprocess_get_exit_status(vm->process), ==, 2);
-	g_assert_true(has_logged(vm, "\"event\":\"start_failed\""));
-	g_assert_true(has_logged(vm, "$.callers"));
+	g_assert_true(has_logged(vm, wrong->logged));
 	fixture_destroy(fixture);
 }
 
@@ -402,6 +412,10 @@
 int
 main(int argc, char **argv)
 {
+	static const struct wrong wrong[] = {
+	    {"{\"vm\":\"vm0\",\"zone\":\"z\"}", "$.callers"},
+	    {"[]", "not one JSON object"}, {DEEP, "nested too deeply"}};
+
 	static const struct port ports[] = {
 	    {"callers", SOCK_STREAM},
 	    {"readiness", SOCK_STREAM},
@@ -437,7 +451,12 @@
 	    test_stop_without_settings);
 	g_test_add_func(
 	    "/start-obstacles/settings-are-a-pipe", test_settings_are_a_pipe);
-	g_test_add_func("/start-obstacles/wrong-setting", test_wrong_setting);
+	g_test_add_data_func(
+	    "/start-obstacles/wrong-setting", &wrong[0], test_wrong_setting);
+	g_test_add_data_func("/start-obstacles/settings-no-object", &wrong[1],
+	    test_wrong_setting);
+	g_test_add_data_func(
+	    "/start-obstacles/settings-deep", &wrong[2], test_wrong_setting);
 	g_test_add_func("/start-obstacles/closed-streams", test_closed_streams);
 	g_test_add_func("/start-obstacles/shared-output-stays-blocking",
 	    test_shared_output_stays_blocking);
--- a/wisteriavane/settings.h
+++ b/wisteriavane/settings.h
@@ -39,8 +39,8 @@
 struct wv_settings *wv_settings_parse(struct wv_string json, GPtrArray *faults);
 
 /**
- * Returns whether a text is JSON at all. One that isn't may be a file that is
- * still being written; one that is stays as it is.
+ * Returns whether a text is JSON, or nests too deeply for the beginning of
+ * settings. Another one may be a file that is still being written.
  */
 bool wv_settings_is_json(struct wv_string json);
 
