Refuse daemon settings that nest too deeply

Cause: json-glib recurses for each level, and wv_settings_parse() had no limit, unlike the parser of the entry server's settings.

Tests: /settings/deep of test_settings and /daemon-start/settings-deep of test_daemon_start ended by signal 11 on the old code, or found no line that names the fault. /daemon-start/settings-no-object passed before too: it guards that the daemon keeps ending with code 2 for "[]".

--- a/src/settings.c
+++ b/src/settings.c
@@ -285,12 +285,18 @@
 struct wv_settings *
 wv_settings_parse(struct wv_string json, GPtrArray *faults)
 {
-	struct wv_settings *settings = g_new0(struct wv_settings, 1);
-	JsonParser *parser = json_parser_new_immutable();
+	struct wv_settings *settings;
+	JsonParser *parser;
 	guint before = faults->len;
 	GError *error = NULL;
 	JsonNode *root;
 
+	if (!wv_json_text_is_shallow(json, MAX_DEPTH)) {
+		add_fault(faults, "$: nests too deeply");
+		return NULL;
+	}
+	settings = g_new0(struct wv_settings, 1);
+	parser = json_parser_new_immutable();
 	if (!json_parser_load_from_data(
 		parser, json.data, (gssize)json.length, &error)) {
 		add_fault(faults, "$: is not valid JSON: %s", error->message);
--- a/test/test_daemon_start.c
+++ b/test/test_daemon_start.c
@@ -6,6 +6,9 @@
 #include "daemon/pause.h"
 #include "test/daemon_fixture.h"
 
+/** Levels of nesting that exhaust a stack of 8 MB. */
+#define N_DEEP 200000
+
 /* The pauses of a wait double from 20 ms up to 1 s and stay there. */
 static void
 test_pauses(void)
@@ -144,6 +147,22 @@
 	server_destroy(server);
 }
 
+/*
+ * JSON that is no object can't heal either, nor can a text that no parser may
+ * read for its depth.
+ */
+static void
+test_no_object(gconstpointer data)
+{
+	struct server *server = server_create();
+
+	set_settings(server, data);
+	server_spawn(server, NULL);
+	wait_logged(server, "settings.json: $: ");
+	expect_exit(server, 2);
+	server_destroy(server);
+}
+
 /*
  * A wrong setting can't heal: an exit code of its own, and a line that tells.
  * This holds for a wrong setting that appears during a wait, too.
@@ -169,6 +188,9 @@
 int
 main(int argc, char **argv)
 {
+	char *deep = g_strnfill(N_DEEP, '[');
+	int result;
+
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/daemon-start/pauses", test_pauses);
 	g_test_add_data_func("/daemon-start/callers-port-in-use",
@@ -194,5 +216,11 @@
 	    "/daemon-start/wrong-setting", "at the start", test_wrong_setting);
 	g_test_add_data_func(
 	    "/daemon-start/wrong-setting-later", NULL, test_wrong_setting);
-	return g_test_run();
+	g_test_add_data_func(
+	    "/daemon-start/settings-no-object", "[]", test_no_object);
+	g_test_add_data_func(
+	    "/daemon-start/settings-deep", deep, test_no_object);
+	result = g_test_run();
+	g_free(deep);
+	return result;
 }
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -9,6 +9,8 @@
 
 #include "wisteriavane/wisteriavane.h"
 
+/** Levels of nesting that exhaust a stack of 8 MB. */
+#define N_DEEP 200000
 #define VALID                                                              \
 	"\"vm\":\"vm1\",\"zone\":\"z1\",\"deployment\":\"test\","          \
 	"\"callers\":\"127.0.0.1:9001\",\"operators\":\"127.0.0.1:9002\"," \
@@ -190,6 +192,25 @@
 	g_free(text);
 }
 
+/*
+ * json-glib recurses for each level of nesting: without a limit, a deep text
+ * ends the process by a fault.
+ */
+static void
+test_deep(void)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	char *text = g_strnfill(N_DEEP, '[');
+	struct wv_string json = {text, N_DEEP};
+
+	g_assert_null(wv_settings_parse(json, faults));
+	g_assert_cmpuint(faults->len, ==, 1);
+	g_assert_true(has_fault(faults, "$: nests too deeply"));
+	g_assert_true(wv_settings_is_json(json));
+	g_free(text);
+	g_ptr_array_unref(faults);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -202,5 +223,6 @@
 	g_test_add_func("/settings/same-listener", test_same_listener);
 	g_test_add_func("/settings/token", test_token_is_not_quoted);
 	g_test_add_func("/settings/is-json", test_is_json);
+	g_test_add_func("/settings/deep", test_deep);
 	return g_test_run();
 }
