Let connections yield only where the handler expects it

What would be seen: the stand-ins of searchers have as many connections as a contract grants, and use the same HTTP server. Since idle connections yield, one that a VM keeps would have been closed for another one, as no searcher does.

Change: connections yield only if the handler has on_yield, as those of callers and operators do.

Test: /http-connections/without-consent failed before (an idle connection was closed) and passes now.

--- a/http/server.c
+++ b/http/server.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <limits.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -223,8 +224,7 @@
 	struct wv_http_handler *handler =
 	    ((struct wv_http_server *)data)->handler;
 
-	if (handler->ops->on_yield != NULL)
-		handler->ops->on_yield(handler);
+	handler->ops->on_yield(handler);
 }
 
 struct wv_http_server *
@@ -247,8 +247,10 @@
 	server->max_body = config->max_body;
 	if (limit < config->threads)
 		limit = 1024 * config->threads;
+	/* Without the handler's consent, no connection yields. */
 	server->connections = wv_http_connections_create(
-	    limit / config->threads, on_yield, server);
+	    handler->ops->on_yield != NULL ? limit / config->threads : UINT_MAX,
+	    on_yield, server);
 	server->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access,
 	    server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_LISTEN_SOCKET,
 	    config->listener > 0 ? config->listener : MHD_INVALID_SOCKET,
--- a/http/server.h
+++ b/http/server.h
@@ -25,7 +25,8 @@
 	void (*before_handle)(struct wv_http_handler *handler);
 	/**
 	 * Runs on an HTTP thread after an idle connection was closed because
-	 * the thread had as many as it may; may be NULL.
+	 * the thread had as many as it may. If it is NULL, none is closed for
+	 * this reason.
 	 */
 	void (*on_yield)(struct wv_http_handler *handler);
 };
@@ -42,8 +43,8 @@
 	size_t max_body; /**< longest body of a request, bytes */
 	/**
 	 * Limit of open connections; if below threads, 1024 per thread. At the
-	 * limit, the connection that is idle for longest is closed. This needs
-	 * room for two connections per thread.
+	 * limit, the connection that is idle for longest is closed if the
+	 * handler has on_yield. This needs room for two connections per thread.
 	 */
 	uint32_t max_connections;
 	/** Idle time until a connection is closed, ms; 0 to 999: never. */
--- a/test/test_http_connections.c
+++ b/test/test_http_connections.c
@@ -48,11 +48,12 @@
 	g_atomic_int_inc(&((struct fixture *)handler)->n_yields);
 }
 
+static const struct wv_http_handler_ops yielding_ops = {
+    .handle = on_call, .on_yield = on_yield};
+
 static void
-fixture_init(struct fixture *fixture)
+fixture_init(struct fixture *fixture, const struct wv_http_handler_ops *ops)
 {
-	static const struct wv_http_handler_ops ops = {
-	    .handle = on_call, .on_yield = on_yield};
 	struct wv_http_server_config config = {
 	    .address = wv_string_borrow("127.0.0.1:0"),
 	    .threads = 1,
@@ -61,7 +62,7 @@
 	struct wv_status status = {WV_OK, ""};
 
 	memset(fixture, 0, sizeof(*fixture));
-	fixture->handler.ops = &ops;
+	fixture->handler.ops = ops;
 	fixture->server =
 	    wv_http_server_start(&config, &fixture->handler, &status);
 	g_assert_nonnull(fixture->server);
@@ -125,7 +126,7 @@
 	struct fixture fixture;
 	int fds[LIMIT];
 
-	fixture_init(&fixture);
+	fixture_init(&fixture, &yielding_ops);
 	for (int i = 0; i < LIMIT - 1; i++)
 		fds[i] = open_connection(&fixture, REQUEST);
 	for (int i = 0; i < LIMIT - 1; i++)
@@ -148,7 +149,7 @@
 	struct fixture fixture;
 	int fds[3 * LIMIT];
 
-	fixture_init(&fixture);
+	fixture_init(&fixture, &yielding_ops);
 	for (size_t i = 0; i < G_N_ELEMENTS(fds) - 1; i++)
 		fds[i] = open_connection(&fixture, data);
 	fds[G_N_ELEMENTS(fds) - 1] = open_connection(&fixture, REQUEST);
@@ -163,7 +164,7 @@
 	struct fixture fixture;
 	int fds[3 * LIMIT];
 
-	fixture_init(&fixture);
+	fixture_init(&fixture, &yielding_ops);
 	fixture.hold = true;
 	fds[0] = open_connection(&fixture, REQUEST);
 	for (size_t i = 1; i < G_N_ELEMENTS(fds); i++)
@@ -174,6 +175,25 @@
 	finish(&fixture, fds, G_N_ELEMENTS(fds));
 }
 
+/*
+ * A server whose handler does not expect it must keep its connections: the
+ * stand-in of a searcher has as many as a contract grants, and others wait.
+ */
+static void
+test_without_consent(void)
+{
+	static const struct wv_http_handler_ops ops = {.handle = on_call};
+	struct fixture fixture;
+	int fds[LIMIT + 1];
+
+	fixture_init(&fixture, &ops);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = open_connection(&fixture, "");
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		g_assert_false(is_closed(fds[i]));
+	finish(&fixture, fds, G_N_ELEMENTS(fds));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -187,5 +207,7 @@
 	    test_half_sent);
 	g_test_add_func(
 	    "/http-connections/request-in-progress", test_request_in_progress);
+	g_test_add_func(
+	    "/http-connections/without-consent", test_without_consent);
 	return g_test_run();
 }
