--- a/daemon/start.h
+++ b/daemon/start.h
@@ -13,7 +13,7 @@
 /** Result of a step of the start. */
 enum start_result {
 	START_DONE,
-	START_STOPPED, /**< a signal asked for a stop, also if the step failed */
+	START_STOPPED, /**< a signal asked for a stop, also of a failed step */
 	START_FAILED /**< waiting can't help; the log says why */
 };
 
