--- a/daemon/stats.h
+++ b/daemon/stats.h
@@ -13,6 +13,7 @@
 #define STATS_LIST(X)          \
 	X(calls)               \
 	X(calls_refused)       \
+	X(connections_yielded) \
 	X(searches)            \
 	X(searches_answered)   \
 	X(searches_full)       \
@@ -44,6 +45,7 @@
 	X(heartbeats_received) \
 	X(acks_received)       \
 	X(frames_refused)      \
+	X(links_unidentified)  \
 	X(peer_bytes_sent)     \
 	X(peer_bytes_received) \
 	X(leases_taken)        \
