--- a/soak/action.c
+++ b/soak/action.c
@@ -16,15 +16,15 @@
 }
 
 struct action *
-action_schedule(struct soak *soak, wv_msec delay, unsigned index,
+action_schedule(struct soak *soak, wv_msec delay, void *owner,
     void (*run)(struct action *action))
 {
 	struct action *action = g_new0(struct action, 1);
 
-	action->soak = soak;
-	action->index = index;
+	action->owner = owner;
 	action->run = run;
-	action->timer = event_new(soak->base, -1, 0, on_action_due, action);
+	action->timer =
+	    event_new(soak_base(soak), -1, 0, on_action_due, action);
 	action_repeat(action, delay);
 	return action;
 }
@@ -43,9 +43,3 @@
 	event_free(action->timer);
 	g_free(action);
 }
-
-unsigned
-random_below(struct soak *soak, unsigned n)
-{
-	return (unsigned)g_rand_int_range(soak->random, 0, (gint32)n);
-}
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -5,12 +5,16 @@
  */
 #include <string.h>
 
+#include "entry/client.h"
 #include "entry/platform_adapter.h"
 #include "entry/socket.h"
 #include "http/json.h"
-#include "soak/soak.h"
+#include "soak/callers.h"
+#include "soak/cluster.h"
 #include "wisteriavane/merge.h"
 
+/** Deadline of each request, ms. */
+#define DEADLINE_MS 1200
 /** Bounds of the random pause between two requests of a caller, ms. */
 #define MIN_PAUSE 20
 #define MAX_PAUSE 90
@@ -22,21 +26,31 @@
 #define ADDRESS_LIFETIME 1500.0
 /** Time after the deadline by which an unaffected VM must have answered, ms. */
 #define ANSWER_SLACK 400.0
+/** Requests sent at least this time after the faults count as such, ms. */
+#define TIME_AFTER_FAULTS 3000.0
 /** Maximum number of records in a merged answer. */
 #define TOP_K 10
 
 /* What a caller waits for. */
 enum step { STEP_PAUSE, STEP_ADDRESSES, STEP_REQUEST };
 
+struct callers {
+	struct soak *soak;
+	struct vms *vms;
+	struct callers_outcome outcome;
+};
+
 /* A caller; it sends one request at a time. */
 struct caller {
 	struct soak *soak;
+	struct vms *vms;
+	struct callers_outcome *outcome;
 	unsigned number;
 	unsigned count; /* requests sent */
 	enum step step;
 	struct client *client;
 	struct event *timer;
-	struct soak_vm *vm; /* receiver of the request, or NULL */
+	struct vm *vm; /* receiver of the request, or NULL */
 	GPtrArray *addresses; /* of VMs, IP:PORT; owned strings */
 	wv_msec addresses_at; /* when they were received */
 	wv_msec sent_at;
@@ -62,28 +76,28 @@
 		client_destroy(caller->client);
 	caller->client = NULL;
 	caller->step = STEP_PAUSE;
-	set_timer(caller,
-	    g_rand_int_range(caller->soak->random, MIN_PAUSE, MAX_PAUSE));
+	set_timer(caller, soak_random_ms(caller->soak, MIN_PAUSE, MAX_PAUSE));
 }
 
 static void
 add_sample(struct caller *caller, unsigned status, double coverage)
 {
+	struct callers_outcome *outcome = caller->outcome;
 	struct soak *soak = caller->soak;
 	wv_msec now = soak_now(soak);
-	struct soak_sample sample = {
-	    now - soak->started_at, now - caller->sent_at, status, coverage};
+	struct callers_sample sample = {now - soak_started_at(soak),
+	    now - caller->sent_at, status, coverage};
 	bool served = status == 200;
 
-	g_array_append_val(soak->samples, sample);
-	soak->requests++;
-	soak->served += served;
-	soak->refused += status == 503;
-	soak->failed += status != 200 && status != 503;
-	if (caller->sent_at < soak->faults_end_at + 3000)
+	g_array_append_val(outcome->samples, sample);
+	outcome->requests++;
+	outcome->served += served;
+	outcome->refused += status == 503;
+	outcome->failed += status != 200 && status != 503;
+	if (caller->sent_at < soak_faults_end(soak) + TIME_AFTER_FAULTS)
 		return;
-	soak->requests_after_faults++;
-	soak->served_after_faults += served;
+	outcome->requests_after_faults++;
+	outcome->served_after_faults += served;
 }
 
 /*
@@ -110,8 +124,8 @@
 static size_t
 check_parts(struct caller *caller, const struct message *answer)
 {
-	struct wv_string parts[SOAK_SERVICES];
-	GString *records[SOAK_SERVICES] = {NULL};
+	struct wv_string parts[CLUSTER_SERVICES];
+	GString *records[CLUSTER_SERVICES] = {NULL};
 	struct wv_string value = {"", 0};
 	struct wv_string merged;
 	char **signatures;
@@ -125,7 +139,7 @@
 	for (unsigned i = 0; signatures[i] != NULL; i++) {
 		int service = parse_signature(caller, signatures[i]);
 
-		if (service < 0 || service >= SOAK_SERVICES - 1 ||
+		if (service < 0 || service >= CLUSTER_SERVICES - 1 ||
 		    records[service] != NULL) {
 			soak_record_violation(caller->soak,
 			    "request %s: signature %s is wrong or repeated",
@@ -144,7 +158,7 @@
 		    "request %s: the body is not the merge of %zu parts",
 		    caller->id, n);
 	wv_string_clear(&merged);
-	for (unsigned i = 0; i < SOAK_SERVICES; i++) {
+	for (unsigned i = 0; i < CLUSTER_SERVICES; i++) {
 		if (records[i] != NULL)
 			g_string_free(records[i], TRUE);
 	}
@@ -163,23 +177,23 @@
 	message_find_field(
 	    answer, platform_get_adapter()->missing_parts, &value);
 	message_parse_number(value, &missing);
-	if (n + missing != SOAK_SERVICES - 1 || n * 2 < SOAK_SERVICES - 1)
+	if (n + missing != CLUSTER_SERVICES - 1 || n * 2 < CLUSTER_SERVICES - 1)
 		soak_record_violation(caller->soak,
 		    "request %s: %zu parts and %u missing", caller->id, n,
 		    (unsigned)missing);
-	add_sample(caller, 200, (double)n / (SOAK_SERVICES - 1));
+	add_sample(caller, 200, (double)n / (CLUSTER_SERVICES - 1));
 }
 
 static void
 check_order(struct caller *caller, const struct message *answer)
 {
-	GString *records = standin_records(SOAK_SERVICES - 1, caller->id);
+	GString *records = standin_records(CLUSTER_SERVICES - 1, caller->id);
 	struct wv_string value = {"", 0};
 	char *signature;
 
 	message_find_field(answer, platform_get_adapter()->signature, &value);
 	signature = g_strndup(value.data, value.length);
-	if (parse_signature(caller, signature) != SOAK_SERVICES - 1 ||
+	if (parse_signature(caller, signature) != CLUSTER_SERVICES - 1 ||
 	    !g_string_equal(records, answer->body))
 		soak_record_violation(caller->soak,
 		    "order %s: the answer signed %s is wrong", caller->id,
@@ -204,7 +218,8 @@
 	}
 	add_sample(caller, answer->status, 0);
 	if (answer->status == 503 && caller->order)
-		g_ptr_array_add(soak->not_run_ids, g_strdup(caller->id));
+		g_ptr_array_add(
+		    caller->outcome->not_run_ids, g_strdup(caller->id));
 	if (answer->status == 503 &&
 	    message_find_field(answer, "retry-after", NULL) != 1)
 		soak_record_violation(soak,
@@ -253,7 +268,7 @@
 static bool
 is_affected(const struct caller *caller)
 {
-	const struct soak_vm *vm = caller->vm;
+	const struct vm *vm = caller->vm;
 
 	return !caller->sent_unaffected || vm == NULL || vm->pid == 0 ||
 	    vm->paused || caller->sent_at < vm->affected_until;
@@ -284,21 +299,11 @@
 
 static const struct client_ops ops = {on_answer, on_end};
 
-static struct soak_vm *
-find_vm(struct soak *soak, const char *callers)
-{
-	for (unsigned i = 0; i < soak->n_vms; i++) {
-		if (g_str_equal(soak->vms[i].listeners[SOAK_CALLERS], callers))
-			return &soak->vms[i];
-	}
-	return NULL;
-}
-
 static void
 send_bytes(struct caller *caller, const char *address, GString *text)
 {
 	caller->client =
-	    client_create(caller->soak->base, address, &ops, caller);
+	    client_create(soak_base(caller->soak), address, &ops, caller);
 	client_send(
 	    caller->client, (struct wv_string){text->str, text->len}, false);
 	caller->sent_at = soak_now(caller->soak);
@@ -308,13 +313,12 @@
 static void
 request_addresses(struct caller *caller)
 {
-	struct soak *soak = caller->soak;
-	unsigned i =
-	    (unsigned)g_rand_int_range(soak->random, 0, (gint32)soak->n_vms);
+	unsigned i = soak_random_below(caller->soak, vms_count(caller->vms));
 	GString *text = standin_address_query();
 
 	caller->step = STEP_ADDRESSES;
-	send_bytes(caller, soak->vms[i].listeners[SOAK_ADDRESSES], text);
+	send_bytes(
+	    caller, vms_get(caller->vms, i)->listeners[VM_ADDRESSES], text);
 	set_timer(caller, 500);
 }
 
@@ -322,31 +326,28 @@
 send_request(struct caller *caller)
 {
 	struct soak *soak = caller->soak;
-	guint i = (guint)g_rand_int_range(
-	    soak->random, 0, (gint32)caller->addresses->len);
+	guint i = soak_random_below(soak, caller->addresses->len);
 	const char *address = caller->addresses->pdata[i];
 	GString *text = g_string_new(NULL);
 
-	caller->vm = find_vm(soak, address);
-	caller->order = g_rand_int_range(soak->random, 0, ORDER_EVERY) == 0;
-	caller->abandons =
-	    g_rand_int_range(soak->random, 0, ABANDON_EVERY) == 0;
-	g_snprintf(caller->id, sizeof(caller->id), "%x-%u-%u", soak->seed,
+	caller->vm = vms_find(caller->vms, address);
+	caller->order = soak_random_below(soak, ORDER_EVERY) == 0;
+	caller->abandons = soak_random_below(soak, ABANDON_EVERY) == 0;
+	g_snprintf(caller->id, sizeof(caller->id), "%x-%u-%u", soak_seed(soak),
 	    caller->number, ++caller->count);
 	g_string_append_printf(text,
 	    "%s /%s/q?n=%u HTTP/1.1\r\nHost: maps.example\r\n"
 	    "%s: %s\r\n%s: %d\r\n",
 	    caller->order ? "POST" : "GET", caller->order ? "order" : "search",
 	    caller->count, platform_get_adapter()->request_id, caller->id,
-	    platform_get_adapter()->deadline, SOAK_DEADLINE_MS);
+	    platform_get_adapter()->deadline, DEADLINE_MS);
 	g_string_append(
 	    text, caller->order ? "Content-Length: 4\r\n\r\nmaps" : "\r\n");
 	caller->step = STEP_REQUEST;
 	send_bytes(caller, address, text);
 	caller->sent_unaffected = caller->vm != NULL && !caller->vm->paused &&
 	    caller->sent_at >= caller->vm->affected_until;
-	set_timer(
-	    caller, caller->abandons ? 15 : SOAK_DEADLINE_MS + ANSWER_SLACK);
+	set_timer(caller, caller->abandons ? 15 : DEADLINE_MS + ANSWER_SLACK);
 }
 
 static void
@@ -363,7 +364,7 @@
 			soak_record_violation(soak,
 			    "request %s: no answer from %s after %d ms",
 			    caller->id, caller->vm->name,
-			    (int)(SOAK_DEADLINE_MS + ANSWER_SLACK));
+			    (int)(DEADLINE_MS + ANSWER_SLACK));
 		if (!caller->abandons)
 			add_sample(caller, 0, 0);
 		start_pause(caller);
@@ -377,16 +378,38 @@
 	}
 }
 
-void
-soak_callers_start(struct soak *soak, unsigned n)
+static void
+start_caller(struct callers *callers, unsigned number)
 {
-	for (unsigned i = 0; i < n; i++) {
-		struct caller *caller = g_new0(struct caller, 1);
+	struct caller *caller = g_new0(struct caller, 1);
+
+	caller->soak = callers->soak;
+	caller->vms = callers->vms;
+	caller->outcome = &callers->outcome;
+	caller->number = number;
+	caller->addresses = g_ptr_array_new_with_free_func(g_free);
+	caller->timer =
+	    event_new(soak_base(caller->soak), -1, 0, on_timer, caller);
+	start_pause(caller);
+}
 
-		caller->soak = soak;
-		caller->number = i;
-		caller->addresses = g_ptr_array_new_with_free_func(g_free);
-		caller->timer = event_new(soak->base, -1, 0, on_timer, caller);
-		start_pause(caller);
-	}
+struct callers *
+callers_create(struct soak *soak, struct vms *vms, unsigned n)
+{
+	struct callers *callers = g_new0(struct callers, 1);
+
+	callers->soak = soak;
+	callers->vms = vms;
+	callers->outcome.samples =
+	    g_array_new(FALSE, FALSE, sizeof(struct callers_sample));
+	callers->outcome.not_run_ids = g_ptr_array_new_with_free_func(g_free);
+	for (unsigned i = 0; i < n; i++)
+		start_caller(callers, i);
+	return callers;
+}
+
+const struct callers_outcome *
+callers_outcome(const struct callers *callers)
+{
+	return &callers->outcome;
 }
--- /dev/null
+++ b/soak/cluster.c
@@ -0,0 +1,155 @@
+/**
+ * @file
+ * What the VMs of the soak use: the store, and the searchers with a proxy in
+ * front of each.
+ */
+#include "soak/cluster.h"
+
+/** Objects in a page of a list of the store. */
+#define PAGE_SIZE 4
+/** Concurrent requests of each searcher, and mean service time, ms. */
+#define SLOTS 4
+#define SERVICE_MS 8
+/** Timeout of the first routes, ms. */
+#define FIRST_TIMEOUT 1500
+
+struct cluster {
+	struct soak *soak;
+	struct standin_searcher_config layout;
+	char *store_address;
+	struct standin_store *store;
+	struct standin_searchers *searchers;
+	struct proxy *links[CLUSTER_SEARCHERS];
+	uint64_t incarnations[CLUSTER_SEARCHERS]; /* from 1 */
+	uint64_t routes_version;
+	wv_msec store_affected_until;
+};
+
+/* Creates a proxy in front of each searcher and registers its address. */
+static void
+create_links(struct cluster *cluster, const unsigned int *ports)
+{
+	struct soak *soak = cluster->soak;
+
+	for (unsigned i = 0; i < CLUSTER_SEARCHERS; i++) {
+		char *address =
+		    g_strdup_printf("%s:%u", soak_ip(soak), ports[i]);
+
+		cluster->links[i] = proxy_create(soak_base(soak), address,
+		    standin_searchers_address(cluster->searchers,
+			i / CLUSTER_REPLICAS, i % CLUSTER_REPLICAS));
+		cluster_restart_searcher(cluster, i);
+		g_free(address);
+	}
+}
+
+struct cluster *
+cluster_create(struct soak *soak, const unsigned int *ports)
+{
+	struct cluster *cluster = g_new0(struct cluster, 1);
+	struct event_base *base = soak_base(soak);
+
+	cluster->soak = soak;
+	cluster->layout = (struct standin_searcher_config){
+	    CLUSTER_SERVICES, CLUSTER_REPLICAS, SLOTS, SERVICE_MS};
+	cluster->store_address =
+	    g_strdup_printf("%s:%u", soak_ip(soak), ports[0]);
+	cluster->store = standin_store_create(base, cluster->store_address);
+	standin_store_set_page_size(cluster->store, PAGE_SIZE);
+	cluster->searchers = standin_searchers_create(base, &cluster->layout,
+	    soak_ip(soak), ports + 1 + CLUSTER_SEARCHERS);
+	cluster_write_routes(cluster, 1, FIRST_TIMEOUT);
+	create_links(cluster, ports + 1);
+	return cluster;
+}
+
+struct standin_store *
+cluster_store(struct cluster *cluster)
+{
+	return cluster->store;
+}
+
+const char *
+cluster_store_address(const struct cluster *cluster)
+{
+	return cluster->store_address;
+}
+
+struct standin_searchers *
+cluster_searchers(struct cluster *cluster)
+{
+	return cluster->searchers;
+}
+
+struct proxy *
+cluster_link(struct cluster *cluster, unsigned searcher)
+{
+	return cluster->links[searcher];
+}
+
+char *
+cluster_searcher_id(unsigned searcher)
+{
+	return standin_searcher_id(
+	    searcher / CLUSTER_REPLICAS, searcher % CLUSTER_REPLICAS);
+}
+
+void
+cluster_write_searcher(
+    struct cluster *cluster, unsigned searcher, bool draining)
+{
+	char *id = cluster_searcher_id(searcher);
+	char service[16];
+
+	g_snprintf(
+	    service, sizeof(service), "s%u", searcher / CLUSTER_REPLICAS);
+	standin_store_write(cluster->store, STANDIN_KIND_SEARCHERS, id,
+	    standin_searcher_spec(service,
+		proxy_address(cluster->links[searcher]),
+		cluster->incarnations[searcher], draining));
+	g_free(id);
+}
+
+void
+cluster_restart_searcher(struct cluster *cluster, unsigned searcher)
+{
+	cluster->incarnations[searcher]++;
+	cluster_write_searcher(cluster, searcher, false);
+}
+
+uint64_t
+cluster_arrivals(struct cluster *cluster, unsigned searcher)
+{
+	return standin_searchers_arrivals(cluster->searchers,
+	    searcher / CLUSTER_REPLICAS, searcher % CLUSTER_REPLICAS);
+}
+
+void
+cluster_set_leaving(struct cluster *cluster, unsigned searcher, bool leaving)
+{
+	standin_searchers_set_leaving(cluster->searchers,
+	    searcher / CLUSTER_REPLICAS, searcher % CLUSTER_REPLICAS, leaving);
+}
+
+uint64_t
+cluster_write_routes(struct cluster *cluster, unsigned step, double timeout)
+{
+	cluster->routes_version += step;
+	standin_store_write(cluster->store, STANDIN_KIND_ROUTES,
+	    STANDIN_ROUTES_OBJECT,
+	    standin_routes(&cluster->layout, cluster->routes_version, timeout));
+	return cluster->routes_version;
+}
+
+void
+cluster_mark_store_affected(struct cluster *cluster, wv_msec duration)
+{
+	cluster->store_affected_until = MAX(cluster->store_affected_until,
+	    soak_now(cluster->soak) + duration + SOAK_RECOVERY_TIME);
+}
+
+wv_msec
+cluster_store_affected_until(const struct cluster *cluster)
+{
+	return cluster->store_affected_until;
+}
--- /dev/null
+++ b/soak/cluster.h
@@ -0,0 +1,68 @@
+/**
+ * @file
+ * What the VMs of the soak use: the store, and the searchers with a proxy in
+ * front of each.
+ */
+#ifndef WISTERIAVANE_SOAK_CLUSTER_H
+#define WISTERIAVANE_SOAK_CLUSTER_H
+
+#include "platform/standin/standin.h"
+#include "soak/proxy.h"
+#include "soak/soak.h"
+
+/** Number of services, the last of which serves orders, and of replicas. */
+#define CLUSTER_SERVICES 5
+#define CLUSTER_REPLICAS 3
+/** Number of searchers; they are ordered by service. */
+#define CLUSTER_SEARCHERS (CLUSTER_SERVICES * CLUSTER_REPLICAS)
+/** Ports that a cluster needs. */
+#define CLUSTER_PORTS (1 + 2 * CLUSTER_SEARCHERS)
+
+struct cluster;
+
+/** Creates the store, the searchers and the proxies, with their entries. */
+struct cluster *cluster_create(struct soak *soak, const unsigned int *ports);
+
+/** Returns the store, and its address IP:PORT. Borrowed. */
+struct standin_store *cluster_store(struct cluster *cluster);
+const char *cluster_store_address(const struct cluster *cluster);
+
+/** Returns the searchers. Borrowed. */
+struct standin_searchers *cluster_searchers(struct cluster *cluster);
+
+/** Returns the proxy in front of a searcher. Borrowed. */
+struct proxy *cluster_link(struct cluster *cluster, unsigned searcher);
+
+/** Returns the identifier of a searcher; the caller owns it. */
+char *cluster_searcher_id(unsigned searcher);
+
+/** Writes the entry of a searcher. */
+void cluster_write_searcher(
+    struct cluster *cluster, unsigned searcher, bool draining);
+
+/** Writes the entry of a new incarnation of a searcher. */
+void cluster_restart_searcher(struct cluster *cluster, unsigned searcher);
+
+/** Returns the number of requests that a searcher has received. */
+uint64_t cluster_arrivals(struct cluster *cluster, unsigned searcher);
+
+/** Sets whether a searcher says in its answers that it is leaving. */
+void cluster_set_leaving(
+    struct cluster *cluster, unsigned searcher, bool leaving);
+
+/**
+ * Writes routes of a newer version; returns the version.
+ *
+ * @param step     difference to the present version
+ * @param timeout  of the routes, ms
+ */
+uint64_t cluster_write_routes(
+    struct cluster *cluster, unsigned step, double timeout);
+
+/** Notes that calls of the store may fail for a duration and a recovery. */
+void cluster_mark_store_affected(struct cluster *cluster, wv_msec duration);
+
+/** Returns the monotonic time until which calls of the store may fail, ms. */
+wv_msec cluster_store_affected_until(const struct cluster *cluster);
+
+#endif
--- /dev/null
+++ b/soak/drains.c
@@ -0,0 +1,101 @@
+/**
+ * @file
+ * Searchers of the soak that drain, and the check that they get no new
+ * requests.
+ */
+#include "soak/action.h"
+#include "soak/drains.h"
+
+/** Time after which a draining searcher must receive no new requests, ms. */
+#define DRAIN_BOUND 3000.0
+/** Time after DRAIN_BOUND during which requests to it are counted, ms. */
+#define DRAIN_CHECK_TIME 1500.0
+
+/* The drain of a searcher. */
+struct drain {
+	bool active;
+	bool in_store; /* the searcher's entry says that it drains */
+	uint64_t arrivals; /* by DRAIN_BOUND */
+};
+
+struct drains {
+	struct soak *soak;
+	struct cluster *cluster;
+	struct drain all[CLUSTER_SEARCHERS];
+};
+
+struct drains *
+drains_create(struct soak *soak, struct cluster *cluster)
+{
+	struct drains *drains = g_new0(struct drains, 1);
+
+	drains->soak = soak;
+	drains->cluster = cluster;
+	return drains;
+}
+
+/*
+ * Runs twice: DRAIN_BOUND after the start of a drain it reads the number of
+ * requests that the searcher has received, and DRAIN_CHECK_TIME later it checks
+ * that there are no more, unless the store was affected by a fault. The
+ * searcher is then restarted.
+ */
+static void
+check_drained(struct action *action)
+{
+	struct drains *drains = action->owner;
+	struct drain *drain = &drains->all[action->index];
+	uint64_t arrivals = cluster_arrivals(drains->cluster, action->index);
+
+	if (action->stage++ == 0) {
+		drain->arrivals = arrivals;
+		action_repeat(action, DRAIN_CHECK_TIME);
+		return;
+	}
+	/*
+	 * If only its answers say that it is leaving, VMs that restart or that
+	 * it has not answered yet don't know.
+	 */
+	if (drain->in_store && arrivals != drain->arrivals &&
+	    soak_now(drains->soak) >
+		cluster_store_affected_until(drains->cluster) + DRAIN_BOUND +
+		    DRAIN_CHECK_TIME)
+		soak_record_violation(drains->soak,
+		    "draining searcher %u got %u requests after the bound",
+		    action->index, (unsigned)(arrivals - drain->arrivals));
+	drain->active = false;
+	cluster_set_leaving(drains->cluster, action->index, false);
+	cluster_restart_searcher(drains->cluster, action->index);
+	action_destroy(action);
+}
+
+void
+drains_begin(struct drains *drains)
+{
+	struct soak *soak = drains->soak;
+	/*
+	 * The first replica of a service is never drained, so that each
+	 * service keeps a searcher.
+	 */
+	unsigned i =
+	    soak_random_below(soak, CLUSTER_SERVICES) * CLUSTER_REPLICAS + 1 +
+	    soak_random_below(soak, CLUSTER_REPLICAS - 1);
+	struct drain *drain = &drains->all[i];
+	bool in_answers;
+
+	/*
+	 * A second drain must not overlap the first: requests that arrive
+	 * after the end of the first would count as late for the second.
+	 */
+	if (drain->active)
+		return;
+	drain->active = true;
+	in_answers = soak_random_below(soak, 2) == 0;
+	drain->in_store = !in_answers || soak_random_below(soak, 2) == 0;
+	soak_record_fault(soak, "searcher %u drains, by its%s%s", i,
+	    drain->in_store ? " entry" : "", in_answers ? " answers" : "");
+	cluster_set_leaving(drains->cluster, i, in_answers);
+	if (drain->in_store)
+		cluster_write_searcher(drains->cluster, i, true);
+	action_schedule(soak, DRAIN_BOUND, drains, check_drained)->index = i;
+}
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 
 #include "soak/action.h"
+#include "soak/faults.h"
 
 /** Bounds of the random time between the starts of two faults, ms. */
 #define MIN_FAULT_INTERVAL 150
@@ -16,62 +17,70 @@
 /** Most faults of a series, and longest time between two of them, ms. */
 #define MAX_SERIES 8
 #define MAX_SERIES_INTERVAL 250.0
-/** Time after which a draining searcher must receive no new requests, ms. */
-#define DRAIN_BOUND 3000.0
-/** Time after DRAIN_BOUND during which requests to it are counted, ms. */
-#define DRAIN_CHECK_TIME 1500.0
-
 /** Entry of another writer that can't be read. */
 #define UNREADABLE_NAME "i-unreadable"
 #define UNREADABLE_DEPTH 100
 
-/* The check of a searcher that drains. */
-struct drain {
-	uint64_t arrivals; /* by DRAIN_BOUND */
-	bool in_store; /* the searcher's entry says that it drains */
+struct faults {
+	struct soak *soak;
+	struct faults_config parts;
 };
 
+/* Schedules an action on one of several VMs or searchers. */
+static struct action *
+schedule(struct faults *faults, wv_msec delay, unsigned index,
+    void (*run)(struct action *action))
+{
+	struct action *action =
+	    action_schedule(faults->soak, delay, faults, run);
+
+	action->index = index;
+	return action;
+}
+
 static void
-mark_all_vms_affected(struct soak *soak, wv_msec duration)
+mark_all_vms_affected(struct faults *faults, wv_msec duration)
 {
-	for (unsigned i = 0; i < soak->n_vms; i++)
-		soak_vm_mark_affected(soak, &soak->vms[i], duration);
+	for (unsigned i = 0; i < vms_count(faults->parts.vms); i++)
+		vm_mark_affected(vms_get(faults->parts.vms, i), duration);
 }
 
 static void
 resume_vm(struct action *action)
 {
-	struct soak_vm *vm = &action->soak->vms[action->index];
+	struct faults *faults = action->owner;
+	struct vm *vm = vms_get(faults->parts.vms, action->index);
 
 	if (vm->pid != 0 && vm->paused)
 		kill(vm->pid, SIGCONT);
 	vm->paused = false;
 	vm->start_due =
-	    MAX(vm->start_due, soak_now(action->soak) + SOAK_START_BOUND);
+	    MAX(vm->start_due, soak_now(faults->soak) + VM_START_BOUND);
 	action_destroy(action);
 }
 
 static void
-pause_vm(struct soak *soak, unsigned i, wv_msec duration)
+pause_vm(struct faults *faults, unsigned i, wv_msec duration)
 {
-	struct soak_vm *vm = &soak->vms[i];
+	struct vm *vm = vms_get(faults->parts.vms, i);
 
-	soak_record_fault(soak, "%s is paused for %.0f ms", vm->name, duration);
+	soak_record_fault(
+	    faults->soak, "%s is paused for %.0f ms", vm->name, duration);
 	if (vm->pid == 0)
 		return;
 	kill(vm->pid, SIGSTOP);
 	vm->paused = true;
-	soak_vm_mark_affected(soak, vm, duration);
-	action_schedule(soak, duration, i, resume_vm);
+	vm_mark_affected(vm, duration);
+	schedule(faults, duration, i, resume_vm);
 }
 
 static void
-kill_vm(struct soak *soak, unsigned i)
+kill_vm(struct faults *faults, unsigned i)
 {
-	struct soak_vm *vm = &soak->vms[i];
+	struct vm *vm = vms_get(faults->parts.vms, i);
 
-	soak_record_fault(soak, "%s is killed", vm->name);
-	soak_vm_mark_affected(soak, vm, 0);
+	soak_record_fault(faults->soak, "%s is killed", vm->name);
+	vm_mark_affected(vm, 0);
 	if (vm->pid == 0)
 		return;
 	vm->killed = true;
@@ -79,220 +88,146 @@
 }
 
 static void
-stop_vm(struct soak *soak, unsigned i)
+stop_vm(struct faults *faults, unsigned i)
 {
-	struct soak_vm *vm = &soak->vms[i];
+	struct vm *vm = vms_get(faults->parts.vms, i);
 
-	soak_record_fault(soak, "%s is asked to stop", vm->name);
+	soak_record_fault(faults->soak, "%s is asked to stop", vm->name);
 	if (!vm->stopping)
-		soak_vm_stop(vm, random_below(soak, 2) == 0 ? SIGTERM : SIGINT);
+		vm_stop(vm,
+		    soak_random_below(faults->soak, 2) == 0 ? SIGTERM : SIGINT);
 }
 
 static void
-reload_vm(struct soak *soak, unsigned i)
+reload_vm(struct faults *faults, unsigned i)
 {
-	struct soak_vm *vm = &soak->vms[i];
+	struct vm *vm = vms_get(faults->parts.vms, i);
 
-	soak_record_fault(soak, "%s reloads its settings", vm->name);
-	soak_vm_signal(vm, SIGHUP);
+	soak_record_fault(faults->soak, "%s reloads its settings", vm->name);
+	vm_signal(vm, SIGHUP);
 }
 
 static void
 restore_store(struct action *action)
 {
-	standin_store_set_fault(action->soak->store, "none");
+	struct faults *faults = action->owner;
+
+	standin_store_set_fault(cluster_store(faults->parts.cluster), "none");
 	action_destroy(action);
 }
 
 static void
-fail_store(struct soak *soak, wv_msec duration)
+fail_store(struct faults *faults, wv_msec duration)
 {
-	static const char *const faults[] = {"busy", "silent", "reset", "lost"};
-	const char *fault = faults[random_below(soak, G_N_ELEMENTS(faults))];
-
-	soak_record_fault(soak, "the store is %s for %.0f ms", fault, duration);
-	standin_store_set_fault(soak->store, fault);
-	soak->store_affected_until =
-	    soak_now(soak) + duration + SOAK_RECOVERY_TIME;
-	action_schedule(soak, duration, 0, restore_store);
+	static const char *const names[] = {"busy", "silent", "reset", "lost"};
+	const char *fault =
+	    names[soak_random_below(faults->soak, G_N_ELEMENTS(names))];
+
+	soak_record_fault(
+	    faults->soak, "the store is %s for %.0f ms", fault, duration);
+	standin_store_set_fault(cluster_store(faults->parts.cluster), fault);
+	cluster_mark_store_affected(faults->parts.cluster, duration);
+	schedule(faults, duration, 0, restore_store);
 }
 
 static void
 restore_store_link(struct action *action)
 {
-	proxy_set_mode(action->soak->vms[action->index].store, PROXY_FORWARD);
+	struct faults *faults = action->owner;
+	struct vm *vm = vms_get(faults->parts.vms, action->index);
+
+	proxy_set_mode(vm->store, PROXY_FORWARD);
 	action_destroy(action);
 }
 
 static void
-fail_store_link(struct soak *soak, unsigned i, wv_msec duration)
+fail_store_link(struct faults *faults, unsigned i, wv_msec duration)
 {
-	enum proxy_mode mode = PROXY_DELAY + random_below(soak, 4);
-
-	soak_record_fault(soak,
-	    "the store's link of %s is in mode %d for %.0f ms",
-	    soak->vms[i].name, mode, duration);
-	proxy_set_mode(soak->vms[i].store, mode);
-	soak->store_affected_until = MAX(soak->store_affected_until,
-	    soak_now(soak) + duration + SOAK_RECOVERY_TIME);
-	action_schedule(soak, duration, i, restore_store_link);
+	enum proxy_mode mode = PROXY_DELAY + soak_random_below(faults->soak, 4);
+	struct vm *vm = vms_get(faults->parts.vms, i);
+
+	soak_record_fault(faults->soak,
+	    "the store's link of %s is in mode %d for %.0f ms", vm->name, mode,
+	    duration);
+	proxy_set_mode(vm->store, mode);
+	cluster_mark_store_affected(faults->parts.cluster, duration);
+	schedule(faults, duration, i, restore_store_link);
 }
 
 static void
 restore_link(struct action *action)
 {
-	proxy_set_mode(action->soak->links[action->index], PROXY_FORWARD);
+	struct faults *faults = action->owner;
+
+	proxy_set_mode(
+	    cluster_link(faults->parts.cluster, action->index), PROXY_FORWARD);
 	action_destroy(action);
 }
 
 static void
-fail_link(struct soak *soak, wv_msec duration)
+fail_link(struct faults *faults, wv_msec duration)
 {
-	unsigned i = random_below(soak, SOAK_SERVICES * SOAK_REPLICAS);
-	enum proxy_mode mode = PROXY_DELAY + random_below(soak, 4);
+	unsigned i = soak_random_below(faults->soak, CLUSTER_SEARCHERS);
+	enum proxy_mode mode = PROXY_DELAY + soak_random_below(faults->soak, 4);
 
-	soak_record_fault(soak,
+	soak_record_fault(faults->soak,
 	    "the link of searcher %u is in mode %d for %.0f ms", i, mode,
 	    duration);
-	proxy_set_mode(soak->links[i], mode);
-	action_schedule(soak, duration, i, restore_link);
-}
-
-static char *
-searcher_id(unsigned i)
-{
-	return standin_searcher_id(i / SOAK_REPLICAS, i % SOAK_REPLICAS);
+	proxy_set_mode(cluster_link(faults->parts.cluster, i), mode);
+	schedule(faults, duration, i, restore_link);
 }
 
 static void
 restore_searcher(struct action *action)
 {
-	char *id = searcher_id(action->index);
+	struct faults *faults = action->owner;
+	char *id = cluster_searcher_id(action->index);
 
-	standin_searchers_set_mode(action->soak->searchers, id, "sound");
+	standin_searchers_set_mode(
+	    cluster_searchers(faults->parts.cluster), id, "sound");
 	g_free(id);
 	action_destroy(action);
 }
 
 static void
-fail_searcher(struct soak *soak, wv_msec duration)
+fail_searcher(struct faults *faults, wv_msec duration)
 {
 	static const char *const modes[] = {"dark", "shed", "rest", "fail",
 	    "fail-429", "fail-503", "break", "extra", "stale", "garbled"};
-	unsigned i = random_below(soak, SOAK_SERVICES * SOAK_REPLICAS);
-	const char *mode = modes[random_below(soak, G_N_ELEMENTS(modes))];
-	char *id = searcher_id(i);
+	unsigned i = soak_random_below(faults->soak, CLUSTER_SEARCHERS);
+	const char *mode =
+	    modes[soak_random_below(faults->soak, G_N_ELEMENTS(modes))];
+	char *id = cluster_searcher_id(i);
 
 	soak_record_fault(
-	    soak, "searcher %s is %s for %.0f ms", id, mode, duration);
-	standin_searchers_set_mode(soak->searchers, id, mode);
+	    faults->soak, "searcher %s is %s for %.0f ms", id, mode, duration);
+	standin_searchers_set_mode(
+	    cluster_searchers(faults->parts.cluster), id, mode);
 	g_free(id);
-	action_schedule(soak, duration, i, restore_searcher);
-}
-
-static void
-write_searcher(struct soak *soak, unsigned i, bool draining)
-{
-	char *id = searcher_id(i);
-	char service[16];
-
-	g_snprintf(service, sizeof(service), "s%u", i / SOAK_REPLICAS);
-	standin_store_write(soak->store, STANDIN_KIND_SEARCHERS, id,
-	    standin_searcher_spec(service, proxy_address(soak->links[i]),
-		soak->incarnations[i], draining));
-	g_free(id);
-}
-
-/*
- * Runs twice: DRAIN_BOUND after the start of a drain it reads the number of
- * requests that the searcher has received, and DRAIN_CHECK_TIME later it checks
- * that there are no more, unless the store was affected by a fault. The
- * searcher is then restarted.
- */
-static void
-check_drained(struct action *action)
-{
-	struct soak *soak = action->soak;
-	unsigned i = action->index;
-	struct drain *drain = action->data;
-	uint64_t arrivals = standin_searchers_arrivals(
-	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS);
-
-	if (action->stage++ == 0) {
-		drain->arrivals = arrivals;
-		action_repeat(action, DRAIN_CHECK_TIME);
-		return;
-	}
-	/*
-	 * If only its answers say that it is leaving, VMs that restart or that
-	 * it has not answered yet don't know.
-	 */
-	if (drain->in_store && arrivals != drain->arrivals &&
-	    soak_now(soak) >
-		soak->store_affected_until + DRAIN_BOUND + DRAIN_CHECK_TIME)
-		soak_record_violation(soak,
-		    "draining searcher %u got %u requests after the bound", i,
-		    (unsigned)(arrivals - drain->arrivals));
-	soak->incarnations[i]++;
-	soak->draining[i] = false;
-	standin_searchers_set_leaving(
-	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS, false);
-	write_searcher(soak, i, false);
-	g_free(drain);
-	action_destroy(action);
-}
-
-static void
-drain_searcher(struct soak *soak)
-{
-	/*
-	 * The first replica of a service is never drained, so that each
-	 * service keeps a searcher.
-	 */
-	unsigned i = random_below(soak, SOAK_SERVICES) * SOAK_REPLICAS + 1 +
-	    random_below(soak, SOAK_REPLICAS - 1);
-	bool in_answers, in_store;
-	struct drain *drain;
-
-	/*
-	 * A second drain must not overlap the first: requests that arrive
-	 * after the end of the first would count as late for the second.
-	 */
-	if (soak->draining[i])
-		return;
-	soak->draining[i] = true;
-	in_answers = random_below(soak, 2) == 0;
-	in_store = !in_answers || random_below(soak, 2) == 0;
-	soak_record_fault(soak, "searcher %u drains, by its%s%s", i,
-	    in_store ? " entry" : "", in_answers ? " answers" : "");
-	standin_searchers_set_leaving(
-	    soak->searchers, i / SOAK_REPLICAS, i % SOAK_REPLICAS, in_answers);
-	if (in_store)
-		write_searcher(soak, i, true);
-	drain = g_new0(struct drain, 1);
-	drain->in_store = in_store;
-	action_schedule(soak, DRAIN_BOUND, i, check_drained)->data = drain;
+	schedule(faults, duration, i, restore_searcher);
 }
 
 /* Watches must read the lists again, in pages. */
 static void
-discard_history(struct soak *soak)
+discard_history(struct faults *faults)
 {
-	soak_record_fault(soak, "the store discards its history");
-	standin_store_discard_history(soak->store);
+	soak_record_fault(faults->soak, "the store discards its history");
+	standin_store_discard_history(cluster_store(faults->parts.cluster));
 }
 
 static void
 remove_unreadable(struct action *action)
 {
-	standin_store_remove(
-	    action->soak->store, STANDIN_KIND_SEARCHERS, UNREADABLE_NAME);
+	struct faults *faults = action->owner;
+
+	standin_store_remove(cluster_store(faults->parts.cluster),
+	    STANDIN_KIND_SEARCHERS, UNREADABLE_NAME);
 	action_destroy(action);
 }
 
 /* Writes an entry of another writer that is nested too deeply to be parsed. */
 static void
-write_unreadable(struct soak *soak, wv_msec duration)
+write_unreadable(struct faults *faults, wv_msec duration)
 {
 	JsonObject *spec = json_object_new();
 	JsonArray *array = json_array_new();
@@ -304,22 +239,22 @@
 		array = outer;
 	}
 	json_object_set_array_member(spec, "zone", array);
-	soak_record_fault(soak, "an entry can't be read for %.0f ms", duration);
-	standin_store_write(
-	    soak->store, STANDIN_KIND_SEARCHERS, UNREADABLE_NAME, spec);
-	action_schedule(soak, duration, 0, remove_unreadable);
+	soak_record_fault(
+	    faults->soak, "an entry can't be read for %.0f ms", duration);
+	standin_store_write(cluster_store(faults->parts.cluster),
+	    STANDIN_KIND_SEARCHERS, UNREADABLE_NAME, spec);
+	schedule(faults, duration, 0, remove_unreadable);
 }
 
 static void
-change_routes(struct soak *soak)
+change_routes(struct faults *faults)
 {
-	soak->routes_version += 1 + random_below(soak, 5);
-	soak_record_fault(
-	    soak, "routes of version %u", (unsigned)soak->routes_version);
-	standin_store_write(soak->store, STANDIN_KIND_ROUTES,
-	    STANDIN_ROUTES_OBJECT,
-	    standin_routes(&soak->layout, soak->routes_version,
-		1000 + 100 * random_below(soak, 10)));
+	struct soak *soak = faults->soak;
+	unsigned step = 1 + soak_random_below(soak, 5);
+	uint64_t version = cluster_write_routes(faults->parts.cluster, step,
+	    1000 + 100 * soak_random_below(soak, 10));
+
+	soak_record_fault(soak, "routes of version %u", (unsigned)version);
 }
 
 /*
@@ -329,99 +264,102 @@
 static void
 continue_series(struct action *action)
 {
-	struct soak *soak = action->soak;
-	unsigned i = random_below(soak, 3) == 0
-	    ? random_below(soak, soak->n_vms)
+	struct faults *faults = action->owner;
+	unsigned i = soak_random_below(faults->soak, 3) == 0
+	    ? soak_random_below(faults->soak, vms_count(faults->parts.vms))
 	    : action->index;
 
-	if (action->stage-- == 0 || soak_now(soak) >= soak->faults_end_at) {
+	if (action->stage-- == 0 || !soak_draws_faults(faults->soak)) {
 		action_destroy(action);
 		return;
 	}
-	switch (random_below(soak, 4)) {
+	switch (soak_random_below(faults->soak, 4)) {
 	case 0:
-		kill_vm(soak, i);
+		kill_vm(faults, i);
 		break;
 	case 1:
-		stop_vm(soak, i);
+		stop_vm(faults, i);
 		break;
 	case 2:
-		reload_vm(soak, i);
+		reload_vm(faults, i);
 		break;
 	default:
-		soak_inject_start_fault(soak, &soak->vms[i],
-		    g_rand_int_range(
-			soak->random, MIN_FAULT_DURATION, MAX_FAULT_DURATION));
+		obstacles_inject(faults->parts.obstacles,
+		    vms_get(faults->parts.vms, i),
+		    soak_random_ms(
+			faults->soak, MIN_FAULT_DURATION, MAX_FAULT_DURATION));
 		break;
 	}
 	action_repeat(
-	    action, g_rand_double_range(soak->random, 0, MAX_SERIES_INTERVAL));
+	    action, soak_random_between(faults->soak, 0, MAX_SERIES_INTERVAL));
 }
 
 static void
-start_series(struct soak *soak, unsigned i)
+start_series(struct faults *faults, unsigned i)
 {
-	action_schedule(soak, 0, i, continue_series)->stage =
-	    2 + random_below(soak, MAX_SERIES - 1);
+	schedule(faults, 0, i, continue_series)->stage =
+	    2 + soak_random_below(faults->soak, MAX_SERIES - 1);
 }
 
 static void
-inject_fault(struct soak *soak)
+inject_fault(struct faults *faults)
 {
-	wv_msec duration = g_rand_int_range(
-	    soak->random, MIN_FAULT_DURATION, MAX_FAULT_DURATION);
-	unsigned vm = random_below(soak, soak->n_vms);
+	wv_msec duration = soak_random_ms(
+	    faults->soak, MIN_FAULT_DURATION, MAX_FAULT_DURATION);
+	unsigned vm =
+	    soak_random_below(faults->soak, vms_count(faults->parts.vms));
 
-	switch (random_below(soak, 20)) {
+	switch (soak_random_below(faults->soak, 20)) {
 	case 0:
-		pause_vm(soak, vm, duration);
+		pause_vm(faults, vm, duration);
 		break;
 	case 1:
-		kill_vm(soak, vm);
+		kill_vm(faults, vm);
 		break;
 	case 2:
 	case 3:
-		stop_vm(soak, vm);
+		stop_vm(faults, vm);
 		break;
 	case 4:
-		reload_vm(soak, vm);
+		reload_vm(faults, vm);
 		break;
 	case 5:
-		fail_store(soak, duration);
+		fail_store(faults, duration);
 		break;
 	case 6:
-		fail_store_link(soak, vm, duration);
+		fail_store_link(faults, vm, duration);
 		break;
 	case 7:
 	case 8:
-		fail_link(soak, duration);
+		fail_link(faults, duration);
 		break;
 	case 9:
-		fail_searcher(soak, duration);
+		fail_searcher(faults, duration);
 		break;
 	case 10:
-		drain_searcher(soak);
+		drains_begin(faults->parts.drains);
 		break;
 	case 11:
-		discard_history(soak);
+		discard_history(faults);
 		break;
 	case 12:
-		write_unreadable(soak, duration);
+		write_unreadable(faults, duration);
 		break;
 	case 13:
-		fail_searcher(soak, duration);
+		fail_searcher(faults, duration);
 		break;
 	case 14:
 	case 15:
 	case 16:
-		soak_inject_start_fault(soak, &soak->vms[vm], duration);
+		obstacles_inject(faults->parts.obstacles,
+		    vms_get(faults->parts.vms, vm), duration);
 		break;
 	case 17:
 	case 18:
-		start_series(soak, vm);
+		start_series(faults, vm);
 		break;
 	default:
-		change_routes(soak);
+		change_routes(faults);
 		break;
 	}
 }
@@ -429,21 +367,25 @@
 static void
 inject_next_fault(struct action *action)
 {
-	struct soak *soak = action->soak;
+	struct faults *faults = action->owner;
 
-	if (soak_now(soak) >= soak->faults_end_at) {
-		mark_all_vms_affected(soak, 0);
+	if (!soak_draws_faults(faults->soak)) {
+		mark_all_vms_affected(faults, 0);
 		action_destroy(action);
 		return;
 	}
-	inject_fault(soak);
+	inject_fault(faults);
 	action_repeat(action,
-	    g_rand_int_range(
-		soak->random, MIN_FAULT_INTERVAL, MAX_FAULT_INTERVAL));
+	    soak_random_ms(
+		faults->soak, MIN_FAULT_INTERVAL, MAX_FAULT_INTERVAL));
 }
 
 void
-soak_faults_start(struct soak *soak)
+faults_create(struct soak *soak, const struct faults_config *config)
 {
-	action_schedule(soak, MAX_FAULT_INTERVAL, 0, inject_next_fault);
+	struct faults *faults = g_new0(struct faults, 1);
+
+	faults->soak = soak;
+	faults->parts = *config;
+	schedule(faults, MAX_FAULT_INTERVAL, 0, inject_next_fault);
 }
--- a/soak/obstacles.c
+++ b/soak/obstacles.c
@@ -16,9 +16,8 @@
 
 #include "entry/socket.h"
 #include "soak/action.h"
+#include "soak/obstacles.h"
 
-/** Time between the end of a process and a delayed restart, ms. */
-#define RESTART_DELAY 200.0
 /** On average, one in this many restarts has each of the obstacles. */
 #define PORTS_EVERY 4
 #define SETTINGS_EVERY 4
@@ -36,6 +35,10 @@
 /** Time between two changes of settings that are rewritten repeatedly, ms. */
 #define REWRITE_INTERVAL 0.5
 
+struct obstacles {
+	struct soak *soak;
+};
+
 /* How a port is held. */
 enum hold {
 	HOLD_LISTEN, /* by a socket that listens but accepts nothing */
@@ -55,12 +58,13 @@
 
 /* A socket that holds a port, and the VM that needs it. */
 struct holder {
-	struct soak_vm *vm;
+	struct vm *vm;
 	int fd;
 };
 
 /* A settings file that is not whole. */
 struct broken_settings {
+	struct soak *soak;
 	wv_msec until; /* monotonic time of its end */
 };
 
@@ -82,7 +86,7 @@
 
 /* Returns a socket that holds a TCP port, or -1 if it is in use. */
 static int
-hold_tcp(const struct soak_vm *vm, const char *address, enum hold hold)
+hold_tcp(const struct vm *vm, const char *address, enum hold hold)
 {
 	struct sockaddr_in target;
 	int fd;
@@ -108,21 +112,20 @@
 
 	setsockopt(holder->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(holder->fd);
-	soak_vm_end_obstacle(action->soak, holder->vm);
+	vm_end_obstacle(holder->vm);
 	g_free(holder);
 	action_destroy(action);
 }
 
 /* Holds a random port of a VM, unless it is in use. */
 static void
-hold_port(struct soak *soak, struct soak_vm *vm)
+hold_port(struct soak *soak, struct vm *vm)
 {
-	wv_msec duration =
-	    g_rand_int_range(soak->random, MIN_HOLD_TIME, MAX_HOLD_TIME);
-	unsigned i = random_below(soak, SOAK_LISTENERS + 1);
-	enum hold hold = random_below(soak, HOLDS);
-	bool udp = i == SOAK_LISTENERS;
-	const char *address = vm->listeners[udp ? SOAK_PEERS : i];
+	wv_msec duration = soak_random_ms(soak, MIN_HOLD_TIME, MAX_HOLD_TIME);
+	unsigned i = soak_random_below(soak, VM_LISTENERS + 1);
+	enum hold hold = soak_random_below(soak, HOLDS);
+	bool udp = i == VM_LISTENERS;
+	const char *address = vm->listeners[udp ? VM_PEERS : i];
 	int fd = udp ? open_exclusive(address, SOCK_DGRAM)
 		     : hold_tcp(vm, address, hold);
 	struct holder *holder;
@@ -135,13 +138,13 @@
 	holder = g_new0(struct holder, 1);
 	holder->vm = vm;
 	holder->fd = fd;
-	soak_vm_begin_obstacle(soak, vm, duration);
-	action_schedule(soak, duration, 0, release_port)->data = holder;
+	vm_begin_obstacle(vm, duration);
+	action_schedule(soak, duration, vm, release_port)->data = holder;
 }
 
 /* Writes the first bytes of the settings into their file as it is. */
 static void
-write_in_place(const struct soak_vm *vm, size_t length)
+write_in_place(const struct vm *vm, size_t length)
 {
 	int fd =
 	    open(vm->settings, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
@@ -155,11 +158,11 @@
 
 /* Writes the settings, in place or by a rename. */
 static void
-write_whole(struct soak *soak, const struct soak_vm *vm)
+write_whole(struct soak *soak, const struct vm *vm)
 {
 	char *copy = g_strdup_printf("%s.new", vm->settings);
 
-	if (random_below(soak, 2) == 0) {
+	if (soak_random_below(soak, 2) == 0) {
 		write_in_place(vm, strlen(vm->settings_text));
 	} else {
 		g_file_set_contents(copy, vm->settings_text, -1, NULL);
@@ -172,9 +175,9 @@
 static void
 continue_settings_fault(struct action *action)
 {
-	struct soak *soak = action->soak;
-	struct soak_vm *vm = &soak->vms[action->index];
 	struct broken_settings *broken = action->data;
+	struct soak *soak = broken->soak;
+	struct vm *vm = action->owner;
 	size_t length = strlen(vm->settings_text);
 
 	if (soak_now(soak) < broken->until) {
@@ -185,20 +188,20 @@
 	}
 	write_whole(soak, vm);
 	vm->settings_broken = false;
-	soak_vm_end_obstacle(soak, vm);
-	soak_vm_signal(vm, SIGHUP);
+	vm_end_obstacle(vm);
+	vm_signal(vm, SIGHUP);
 	g_free(broken);
 	action_destroy(action);
 }
 
 static void
-break_settings(struct soak *soak, struct soak_vm *vm)
+break_settings(struct soak *soak, struct vm *vm)
 {
 	static const char *const names[] = {
 	    "empty", "half written", "missing", "rewritten repeatedly"};
 	wv_msec duration =
-	    g_rand_int_range(soak->random, MIN_BROKEN_TIME, MAX_BROKEN_TIME);
-	enum settings_fault fault = random_below(soak, SETTINGS_FAULTS);
+	    soak_random_ms(soak, MIN_BROKEN_TIME, MAX_BROKEN_TIME);
+	enum settings_fault fault = soak_random_below(soak, SETTINGS_FAULTS);
 	struct broken_settings *broken;
 	struct action *action;
 
@@ -213,33 +216,33 @@
 		    fault == SETTINGS_EMPTY ? 0
 					    : strlen(vm->settings_text) / 2);
 	vm->settings_broken = true;
-	soak_vm_begin_obstacle(soak, vm, duration);
+	vm_begin_obstacle(vm, duration);
 	broken = g_new0(struct broken_settings, 1);
+	broken->soak = soak;
 	broken->until = soak_now(soak) + duration;
 	action = action_schedule(soak,
-	    fault == SETTINGS_REWRITTEN ? REWRITE_INTERVAL : duration,
-	    (unsigned)(vm - soak->vms), continue_settings_fault);
+	    fault == SETTINGS_REWRITTEN ? REWRITE_INTERVAL : duration, vm,
+	    continue_settings_fault);
 	action->data = broken;
 }
 
 static void
 end_former(struct action *action)
 {
-	struct soak *soak = action->soak;
-	struct soak_vm *vm = &soak->vms[action->index];
+	struct vm *vm = action->owner;
 
 	kill(vm->former_pid, SIGKILL);
 	waitpid(vm->former_pid, NULL, 0);
 	output_destroy(vm->former_output);
 	vm->former_pid = 0;
 	vm->former_output = NULL;
-	soak_vm_end_obstacle(soak, vm);
+	vm_end_obstacle(vm);
 	action_destroy(action);
 }
 
 /* Starts the next process while the former one is stopped and has the ports. */
 static void
-start_beside_former(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+start_beside_former(struct soak *soak, struct vm *vm, wv_msec duration)
 {
 	if (vm->pid == 0 || vm->former_pid != 0)
 		return;
@@ -249,15 +252,15 @@
 	kill(vm->pid, SIGSTOP);
 	vm->former_pid = vm->pid;
 	vm->former_output = vm->output;
-	soak_vm_begin_obstacle(soak, vm, duration);
-	action_schedule(soak, duration, (unsigned)(vm - soak->vms), end_former);
-	soak_vm_start(soak, vm);
+	vm_begin_obstacle(vm, duration);
+	action_schedule(soak, duration, vm, end_former);
+	vm_start(vm);
 }
 
 static void
 read_output_again(struct action *action)
 {
-	struct soak_vm *vm = &action->soak->vms[action->index];
+	struct vm *vm = action->owner;
 
 	if (vm->output == action->data)
 		output_set_mode(vm->output, OUTPUT_READ);
@@ -266,62 +269,82 @@
 
 /* Reads the output of a process slowly or not at all for some time. */
 static void
-delay_output(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+delay_output(struct soak *soak, struct vm *vm, wv_msec duration)
 {
-	bool slow = random_below(soak, 2) == 0;
+	bool slow = soak_random_below(soak, 2) == 0;
 	struct action *action;
 
 	soak_record_fault(soak, "the output of %s is read %s for %.0f ms",
 	    vm->name, slow ? "slowly" : "not at all", duration);
 	output_shrink(vm->output);
 	output_set_mode(vm->output, slow ? OUTPUT_SLOW : OUTPUT_UNREAD);
-	action = action_schedule(
-	    soak, duration, (unsigned)(vm - soak->vms), read_output_again);
+	action = action_schedule(soak, duration, vm, read_output_again);
 	action->data = vm->output;
 }
 
-void
-soak_draw_output(struct soak *soak, struct soak_vm *vm)
+/* Draws how the output of a new process is read. */
+static void
+draw_output(struct soak *soak, struct vm *vm)
 {
-	if (soak_now(soak) < soak->faults_end_at &&
-	    random_below(soak, OUTPUT_EVERY) == 0)
+	if (soak_draws_faults(soak) &&
+	    soak_random_below(soak, OUTPUT_EVERY) == 0)
 		delay_output(soak, vm,
-		    g_rand_int_range(
-			soak->random, MIN_HOLD_TIME, MAX_HOLD_TIME));
+		    soak_random_ms(soak, MIN_HOLD_TIME, MAX_HOLD_TIME));
 }
 
-void
-soak_draw_restart(struct soak *soak, struct soak_vm *vm)
+/* Draws obstacles for the restart of a VM, and whether it is immediate. */
+static void
+draw_restart(struct soak *soak, struct vm *vm)
 {
-	wv_msec now = soak_now(soak);
-
-	vm->restart_at = now + RESTART_DELAY;
-	if (now >= soak->faults_end_at)
+	if (!soak_draws_faults(soak))
 		return;
-	if (random_below(soak, IMMEDIATE_EVERY) == 0)
-		vm->restart_at = now;
-	if (random_below(soak, PORTS_EVERY) == 0) {
-		unsigned n = 1 + random_below(soak, MAX_HELD_PORTS);
+	if (soak_random_below(soak, IMMEDIATE_EVERY) == 0)
+		vm->restart_at = soak_now(soak);
+	if (soak_random_below(soak, PORTS_EVERY) == 0) {
+		unsigned n = 1 + soak_random_below(soak, MAX_HELD_PORTS);
 
 		for (unsigned i = 0; i < n; i++)
 			hold_port(soak, vm);
 	}
-	if (random_below(soak, SETTINGS_EVERY) == 0)
+	if (soak_random_below(soak, SETTINGS_EVERY) == 0)
 		break_settings(soak, vm);
 }
 
+static void
+on_vm_event(void *data, struct vm *vm, enum vm_event event)
+{
+	struct obstacles *obstacles = data;
+
+	if (event == VM_PREPARED)
+		draw_output(obstacles->soak, vm);
+	else if (event == VM_ENDED)
+		draw_restart(obstacles->soak, vm);
+}
+
+struct obstacles *
+obstacles_create(struct soak *soak, struct vms *vms)
+{
+	struct obstacles *obstacles = g_new0(struct obstacles, 1);
+
+	obstacles->soak = soak;
+	vms_observe(vms, on_vm_event, obstacles);
+	return obstacles;
+}
+
 void
-soak_inject_start_fault(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+obstacles_inject(struct obstacles *obstacles, struct vm *vm, wv_msec duration)
 {
+	struct soak *soak = obstacles->soak;
+
 	if (vm->pid == 0)
 		return;
-	switch (random_below(soak, 4)) {
+	switch (soak_random_below(soak, 4)) {
 	case 0:
 		start_beside_former(soak, vm, duration);
 		break;
 	case 1:
 		break_settings(soak, vm);
-		soak_vm_signal(vm, SIGHUP);
+		vm_signal(vm, SIGHUP);
 		break;
 	case 2:
 		delay_output(soak, vm, duration);
--- a/soak/probes.c
+++ b/soak/probes.c
@@ -6,6 +6,7 @@
 #include "entry/client.h"
 #include "entry/platform_adapter.h"
 #include "soak/action.h"
+#include "soak/probes.h"
 
 /** Time between two probes of a VM, ms. */
 #define PROBE_INTERVAL 200.0
@@ -16,7 +17,7 @@
 /* The probes of a VM. */
 struct probe {
 	struct soak *soak;
-	struct soak_vm *vm;
+	struct vm *vm;
 	struct client *client; /* NULL: no probe is in progress */
 	pid_t pid; /* of the process to which it was sent */
 	unsigned intervals; /* since it was sent */
@@ -69,18 +70,17 @@
 	    adapter->deadline, PROBE_DEADLINE_MS);
 	probe->pid = probe->vm->pid;
 	probe->intervals = 0;
-	probe->client = client_create(
-	    probe->soak->base, probe->vm->listeners[SOAK_CALLERS], &ops, probe);
+	probe->client = client_create(soak_base(probe->soak),
+	    probe->vm->listeners[VM_CALLERS], &ops, probe);
 	client_send(
 	    probe->client, (struct wv_string){text->str, text->len}, false);
 	g_string_free(text, TRUE);
 }
 
-/* The action's index is the VM's. */
 static void
 probe_next(struct action *action)
 {
-	struct probe *probe = action->data;
+	struct probe *probe = action->owner;
 
 	if (probe->pid != probe->vm->pid ||
 	    ++probe->intervals >= PROBE_INTERVALS)
@@ -91,14 +91,13 @@
 }
 
 void
-soak_probes_start(struct soak *soak)
+probes_create(struct soak *soak, struct vms *vms)
 {
-	for (unsigned i = 0; i < soak->n_vms; i++) {
+	for (unsigned i = 0; i < vms_count(vms); i++) {
 		struct probe *probe = g_new0(struct probe, 1);
 
 		probe->soak = soak;
-		probe->vm = &soak->vms[i];
-		action_schedule(soak, PROBE_INTERVAL, i, probe_next)->data =
-		    probe;
+		probe->vm = vms_get(vms, i);
+		action_schedule(soak, PROBE_INTERVAL, probe, probe_next);
 	}
 }
--- a/soak/report.c
+++ b/soak/report.c
@@ -5,7 +5,7 @@
  */
 #include <math.h>
 
-#include "soak/soak.h"
+#include "soak/report.h"
 
 /** Size of a plot, and its margin for the axis labels, pixels. */
 #define WIDTH 900.0
@@ -14,13 +14,14 @@
 
 /* Returns the time of the last sample, at least 1000 ms. */
 static double
-last_sample_time(const struct soak *soak)
+last_sample_time(const struct callers_outcome *outcome)
 {
 	double last = 1000;
 
-	for (guint i = 0; i < soak->samples->len; i++)
+	for (guint i = 0; i < outcome->samples->len; i++)
 		last = fmax(last,
-		    g_array_index(soak->samples, struct soak_sample, i).at);
+		    g_array_index(outcome->samples, struct callers_sample, i)
+			.at);
 	return last;
 }
 
@@ -43,7 +44,7 @@
 static void
 append_fault_lines(GString *out, const struct soak *soak, double last)
 {
-	char **lines = g_strsplit(soak->faults->str, "\n", 0);
+	char **lines = g_strsplit(soak_faults(soak), "\n", 0);
 
 	for (unsigned i = 0; lines[i] != NULL; i++) {
 		double at = g_ascii_strtod(lines[i], NULL);
@@ -59,10 +60,10 @@
 }
 
 static void
-append_plot(
-    GString *out, const struct soak *soak, const char *title, bool coverage)
+append_plot(GString *out, const struct soak *soak,
+    const struct callers_outcome *outcome, const char *title, bool coverage)
 {
-	double last = last_sample_time(soak);
+	double last = last_sample_time(outcome);
 
 	g_string_append_printf(out,
 	    "<h2>%s</h2><svg width='%.0f' height='%.0f'>\n"
@@ -70,9 +71,9 @@
 	    title, WIDTH + 2 * MARGIN, HEIGHT + 4, coverage ? "1" : "1.6 s",
 	    HEIGHT);
 	append_fault_lines(out, soak, last);
-	for (guint i = 0; i < soak->samples->len; i++) {
-		const struct soak_sample *sample =
-		    &g_array_index(soak->samples, struct soak_sample, i);
+	for (guint i = 0; i < outcome->samples->len; i++) {
+		const struct callers_sample *sample =
+		    &g_array_index(outcome->samples, struct callers_sample, i);
 		double y = coverage ? sample->coverage
 				    : fmin(sample->elapsed / 1600, 1);
 
@@ -85,7 +86,8 @@
 }
 
 void
-soak_report_write(const struct soak *soak, const char *file)
+report_write(const struct soak *soak, const struct callers_outcome *outcome,
+    const char *file)
 {
 	GString *out = g_string_new(NULL);
 
@@ -93,15 +95,16 @@
 	    "<!doctype html><meta charset='utf-8'><title>soak %u</title>"
 	    "<h1>Soak, seed %u</h1><p>%u requests: %u served, %u refused as "
 	    "not run, %u failed. %u violations.</p><pre>%s</pre>",
-	    soak->seed, soak->seed, soak->requests, soak->served, soak->refused,
-	    soak->failed, soak->n_violations, soak->violations->str);
-	append_plot(out, soak,
+	    soak_seed(soak), soak_seed(soak), outcome->requests,
+	    outcome->served, outcome->refused, outcome->failed,
+	    soak_count_violations(soak), soak_violations(soak));
+	append_plot(out, soak, outcome,
 	    "Latency (green: served, orange: refused, "
 	    "red: failed, grey: no answer)",
 	    false);
-	append_plot(out, soak, "Coverage", true);
+	append_plot(out, soak, outcome, "Coverage", true);
 	g_string_append_printf(
-	    out, "<h2>Faults</h2><pre>%s</pre>", soak->faults->str);
+	    out, "<h2>Faults</h2><pre>%s</pre>", soak_faults(soak));
 	g_file_set_contents(file, out->str, (gssize)out->len, NULL);
 	g_string_free(out, TRUE);
 }
--- a/soak/signals.c
+++ b/soak/signals.c
@@ -7,6 +7,7 @@
 
 #include "soak/action.h"
 #include "soak/launch.h"
+#include "soak/signals.h"
 
 /**
  * Time within which a new process is guarded against signals, ms. A server
@@ -25,79 +26,64 @@
 /** On average, one in this many series requests a stop. */
 #define STOP_EVERY 4
 
-void
-soak_vm_signal(struct soak_vm *vm, int number)
-{
-	if (vm->pid == 0)
-		return;
-	if (vm->guarded)
-		kill(vm->pid, number);
-	else
-		vm->pending_signals |= 1u << number;
-}
+/* The signals to one new process; ends with it or with the last signal. */
+struct series {
+	struct soak *soak;
+	struct vm *vm;
+	bool may_stop;
+};
 
-void
-soak_vm_stop(struct soak_vm *vm, int number)
+static void
+end_series(struct action *action)
 {
-	if (vm->pid == 0)
-		return;
-	vm->stopping = true;
-	soak_vm_signal(vm, number);
+	g_free(action->owner);
+	action_destroy(action);
 }
 
 /* Sends one signal of a series; stage is the number of those to come. */
 static void
-send_next(struct action *action, bool may_stop)
+send_next(struct action *action)
 {
 	static const int stops[] = {SIGTERM, SIGINT};
-	struct soak *soak = action->soak;
-	struct soak_vm *vm = &soak->vms[action->index];
+	struct series *series = action->owner;
+	struct soak *soak = series->soak;
 
-	if (vm->pid != action->pid || action->stage-- == 0) {
-		action_destroy(action);
+	if (series->vm->pid != action->pid || action->stage-- == 0) {
+		end_series(action);
 		return;
 	}
-	if (may_stop && random_below(soak, 3) == 0)
-		soak_vm_stop(
-		    vm, stops[random_below(soak, G_N_ELEMENTS(stops))]);
+	if (series->may_stop && soak_random_below(soak, 3) == 0)
+		vm_stop(series->vm,
+		    stops[soak_random_below(soak, G_N_ELEMENTS(stops))]);
 	else
-		soak_vm_signal(vm, SIGHUP);
+		vm_signal(series->vm, SIGHUP);
 	action_repeat(
-	    action, g_rand_double_range(soak->random, 0, MAX_SIGNAL_INTERVAL));
-}
-
-static void
-send_next_reload(struct action *action)
-{
-	send_next(action, false);
+	    action, soak_random_between(soak, 0, MAX_SIGNAL_INTERVAL));
 }
 
+/* Draws a series for a process that is guarded now, or ends the action. */
 static void
-send_next_reload_or_stop(struct action *action)
+draw_series(struct action *action)
 {
-	send_next(action, true);
-}
-
-static void
-draw_series(struct soak *soak, unsigned i)
-{
-	struct soak_vm *vm = &soak->vms[i];
-	bool stops = random_below(soak, STOP_EVERY) == 0;
-	struct action *action;
+	struct series *series = action->owner;
+	struct soak *soak = series->soak;
 
-	if (soak_now(soak) >= soak->faults_end_at ||
-	    random_below(soak, SERIES_EVERY) != 0)
+	series->may_stop = soak_random_below(soak, STOP_EVERY) == 0;
+	if (!soak_draws_faults(soak) ||
+	    soak_random_below(soak, SERIES_EVERY) != 0) {
+		end_series(action);
 		return;
-	action = action_schedule(
-	    soak, 0, i, stops ? send_next_reload_or_stop : send_next_reload);
-	action->pid = vm->pid;
-	action->stage = 1 + random_below(soak, MAX_SIGNALS);
-	soak_record_fault(soak, "%s gets %u signals%s when it starts", vm->name,
-	    action->stage, stops ? ", with stops," : "");
+	}
+	action->run = send_next;
+	action->stage = 1 + soak_random_below(soak, MAX_SIGNALS);
+	soak_record_fault(soak, "%s gets %u signals%s when it starts",
+	    series->vm->name, action->stage,
+	    series->may_stop ? ", with stops," : "");
+	action_repeat(action, 0);
 }
 
 static void
-send_pending(struct soak_vm *vm)
+send_pending(struct vm *vm)
 {
 	static const int numbers[] = {SIGHUP, SIGINT, SIGTERM};
 
@@ -111,12 +97,13 @@
 static void
 check_guarded(struct action *action)
 {
-	struct soak *soak = action->soak;
-	struct soak_vm *vm = &soak->vms[action->index];
+	struct series *series = action->owner;
+	struct soak *soak = series->soak;
+	struct vm *vm = series->vm;
 	wv_msec now = soak_now(soak);
 
 	if (vm->pid != action->pid) {
-		action_destroy(action);
+		end_series(action);
 		return;
 	}
 	if (vm->paused)
@@ -134,18 +121,28 @@
 		    vm->name, GUARD_BOUND);
 	vm->guarded = true;
 	send_pending(vm);
-	draw_series(soak, action->index);
-	action_destroy(action);
+	draw_series(action);
 }
 
-void
-soak_signals_start(struct soak *soak, struct soak_vm *vm)
+static void
+on_vm_event(void *data, struct vm *vm, enum vm_event event)
 {
-	struct action *action =
-	    action_schedule(soak, 0, (unsigned)(vm - soak->vms), check_guarded);
+	struct series *series;
+	struct soak *soak = data;
 
+	if (event != VM_STARTED)
+		return;
+	series = g_new0(struct series, 1);
+	series->soak = soak;
+	series->vm = vm;
 	vm->guarded = false;
 	vm->pending_signals = 0;
 	vm->guard_due = soak_now(soak) + GUARD_BOUND;
-	action->pid = vm->pid;
+	action_schedule(soak, 0, series, check_guarded)->pid = vm->pid;
+}
+
+void
+signals_create(struct soak *soak, struct vms *vms)
+{
+	vms_observe(vms, on_vm_event, soak);
 }
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -7,30 +7,128 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "platform/standin/standin.h"
 #include "soak/launch.h"
-#include "soak/soak.h"
+#include "soak/vms.h"
 
 /** Time after a start during which requests may fail, ms. */
 #define START_GRACE 1500.0
 /** Limit of the resident memory of a process, KB. */
 #define MAX_MEMORY_KB (260ul * 1000)
+/** Time between the end of a process and its restart, ms. */
+#define RESTART_DELAY 200.0
+/** Maximum duration of a planned stop, by the settings, s. */
+#define STOP_S 4
+
+/* An observer and its data. */
+struct observer {
+	vms_observer notify;
+	void *data;
+};
+
+struct vms {
+	struct soak *soak;
+	const char *program;
+	bool check_memory;
+	unsigned n;
+	struct vm *all;
+	GArray *observers; /* of struct observer */
+};
+
+/* Writes the settings of a VM to their file. */
+static void
+write_settings(struct vm *vm, const unsigned int *ports)
+{
+	struct standin_vm_config standin = {.name = vm->name,
+	    .callers = vm->listeners[VM_CALLERS],
+	    .addresses = vm->listeners[VM_ADDRESSES],
+	    .store = proxy_address(vm->store),
+	    .ip = soak_ip(vm->vms->soak),
+	    .readiness = ports[VM_READINESS],
+	    .peers = ports[VM_PEERS],
+	    .metrics = ports[VM_METRICS],
+	    .stop_s = STOP_S};
+
+	vm->settings_text = standin_vm_settings(&standin);
+	g_file_set_contents(vm->settings, vm->settings_text, -1, NULL);
+}
+
+static void
+init_vm(
+    struct vms *vms, unsigned i, const unsigned int *ports, const char *store)
+{
+	struct soak *soak = vms->soak;
+	const char *ip = soak_ip(soak);
+	char *address = g_strdup_printf("%s:%u", ip, ports[VM_LISTENERS]);
+	struct vm *vm = &vms->all[i];
+
+	vm->vms = vms;
+	vm->name = g_strdup_printf("vm%u", i);
+	vm->settings =
+	    g_strdup_printf("%s/%s.json", soak_directory(soak), vm->name);
+	for (unsigned j = 0; j < VM_LISTENERS; j++)
+		vm->listeners[j] = g_strdup_printf("%s:%u", ip, ports[j]);
+	vm->store = proxy_create(soak_base(soak), address, store);
+	write_settings(vm, ports);
+	g_free(address);
+}
+
+struct vms *
+vms_create(struct soak *soak, const struct vms_config *config)
+{
+	struct vms *vms = g_new0(struct vms, 1);
+
+	vms->soak = soak;
+	vms->program = config->program;
+	vms->check_memory = config->check_memory;
+	vms->n = config->n;
+	vms->all = g_new0(struct vm, config->n);
+	vms->observers = g_array_new(FALSE, FALSE, sizeof(struct observer));
+	for (unsigned i = 0; i < vms->n; i++)
+		init_vm(vms, i, config->ports + (size_t)i * VM_PORTS,
+		    config->store);
+	return vms;
+}
+
+void
+vms_observe(struct vms *vms, vms_observer observer, void *data)
+{
+	struct observer added = {observer, data};
+
+	g_array_append_val(vms->observers, added);
+}
+
+static void
+notify(struct vm *vm, enum vm_event event)
+{
+	GArray *observers = vm->vms->observers;
+
+	for (guint i = 0; i < observers->len; i++) {
+		struct observer *observer =
+		    &g_array_index(observers, struct observer, i);
+
+		observer->notify(observer->data, vm, event);
+	}
+}
 
 /* Returns the path of the log of a VM; the caller owns it. */
 static char *
-log_path(const struct soak *soak, const struct soak_vm *vm)
+log_path(const struct vm *vm)
 {
-	return g_strdup_printf("%s/%s.log", soak->dir, vm->name);
+	return g_strdup_printf(
+	    "%s/%s.log", soak_directory(vm->vms->soak), vm->name);
 }
 
 void
-soak_vm_start(struct soak *soak, struct soak_vm *vm)
+vm_start(struct vm *vm)
 {
-	char *log = log_path(soak, vm);
+	struct soak *soak = vm->vms->soak;
+	char *log = log_path(vm);
 	int end = -1;
 
-	vm->output = output_create(soak->base, log, &end);
-	soak_draw_output(soak, vm);
-	vm->pid = launch_program(soak->program, vm->settings, end);
+	vm->output = output_create(soak_base(soak), log, &end);
+	notify(vm, VM_PREPARED);
+	vm->pid = launch_program(vm->vms->program, vm->settings, end);
 	close(end);
 	vm->stopping = false;
 	vm->paused = false;
@@ -39,41 +137,61 @@
 	vm->start_late = false;
 	vm->too_large = false;
 	vm->restart_at = 0;
-	vm->start_due = soak_now(soak) + SOAK_START_BOUND;
+	vm->start_due = soak_now(soak) + VM_START_BOUND;
 	vm->affected_until =
 	    MAX(vm->affected_until, soak_now(soak) + START_GRACE);
-	soak_signals_start(soak, vm);
+	notify(vm, VM_STARTED);
 	g_free(log);
 }
 
 void
-soak_vm_mark_affected(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+vm_mark_affected(struct vm *vm, wv_msec duration)
 {
-	vm->affected_until = MAX(
-	    vm->affected_until, soak_now(soak) + duration + SOAK_RECOVERY_TIME);
+	vm->affected_until = MAX(vm->affected_until,
+	    soak_now(vm->vms->soak) + duration + SOAK_RECOVERY_TIME);
 }
 
 void
-soak_vm_begin_obstacle(struct soak *soak, struct soak_vm *vm, wv_msec duration)
+vm_begin_obstacle(struct vm *vm, wv_msec duration)
 {
 	vm->obstacles++;
-	soak_vm_mark_affected(soak, vm, duration);
+	vm_mark_affected(vm, duration);
 }
 
 void
-soak_vm_end_obstacle(struct soak *soak, struct soak_vm *vm)
+vm_end_obstacle(struct vm *vm)
 {
 	vm->obstacles--;
-	vm->start_due = soak_now(soak) + SOAK_START_BOUND;
+	vm->start_due = soak_now(vm->vms->soak) + VM_START_BOUND;
 	/* It may use all of the bound before it serves. */
-	soak_vm_mark_affected(soak, vm, SOAK_START_BOUND);
+	vm_mark_affected(vm, VM_START_BOUND);
+}
+
+void
+vm_signal(struct vm *vm, int number)
+{
+	if (vm->pid == 0)
+		return;
+	if (vm->guarded)
+		kill(vm->pid, number);
+	else
+		vm->pending_signals |= 1u << number;
+}
+
+void
+vm_stop(struct vm *vm, int number)
+{
+	if (vm->pid == 0)
+		return;
+	vm->stopping = true;
+	vm_signal(vm, number);
 }
 
 /* Returns the last line of the log of a VM; the caller owns it. */
 static char *
-read_last_line(const struct soak *soak, const struct soak_vm *vm)
+read_last_line(const struct vm *vm)
 {
-	char *log = log_path(soak, vm);
+	char *log = log_path(vm);
 	char *text = NULL;
 	char *line;
 
@@ -88,12 +206,13 @@
 
 /* Records that a process has ended by itself, with the last line of its log. */
 static void
-record_unexpected_exit(struct soak *soak, const struct soak_vm *vm, int status)
+record_unexpected_exit(const struct vm *vm, int status)
 {
-	char *line = read_last_line(soak, vm);
+	char *line = read_last_line(vm);
 
-	soak_record_violation(soak, "%s ended by itself: %s %d, last line: %s",
-	    vm->name, WIFEXITED(status) ? "exit code" : "signal",
+	soak_record_violation(vm->vms->soak,
+	    "%s ended by itself: %s %d, last line: %s", vm->name,
+	    WIFEXITED(status) ? "exit code" : "signal",
 	    WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status),
 	    line != NULL ? line : "none");
 	g_free(line);
@@ -101,7 +220,7 @@
 
 /* Returns whether the soak has asked for such an end of a process. */
 static bool
-is_expected_exit(const struct soak_vm *vm, int status)
+is_expected_exit(const struct vm *vm, int status)
 {
 	if (WIFSIGNALED(status))
 		return vm->killed && WTERMSIG(status) == SIGKILL;
@@ -109,65 +228,68 @@
 }
 
 static void
-record_exit(struct soak *soak, struct soak_vm *vm, int status)
+record_exit(struct vm *vm, int status)
 {
 	output_destroy(vm->output);
 	vm->output = NULL;
 	vm->pid = 0;
 	if (!is_expected_exit(vm, status))
-		record_unexpected_exit(soak, vm, status);
-	soak_draw_restart(soak, vm);
+		record_unexpected_exit(vm, status);
+	vm->restart_at = soak_now(vm->vms->soak) + RESTART_DELAY;
+	notify(vm, VM_ENDED);
 	vm->affected_until =
 	    MAX(vm->affected_until, vm->restart_at + START_GRACE);
 }
 
 static void
-check_memory(struct soak *soak, struct soak_vm *vm)
+check_memory(struct vm *vm)
 {
 	unsigned long peak;
 
-	if (!soak->check_memory || vm->too_large)
+	if (!vm->vms->check_memory || vm->too_large)
 		return;
 	peak = launch_peak_memory(vm->pid);
 	vm->too_large = peak > MAX_MEMORY_KB;
 	if (vm->too_large)
 		soak_record_violation(
-		    soak, "%s uses %lu KB of memory", vm->name, peak);
+		    vm->vms->soak, "%s uses %lu KB of memory", vm->name, peak);
 }
 
 /* Checks that a process that could start has answered callers in time. */
 static void
-check_start(struct soak *soak, struct soak_vm *vm)
+check_start(struct vm *vm)
 {
+	struct soak *soak = vm->vms->soak;
+
 	if (vm->answered || vm->start_late || vm->paused || vm->stopping ||
 	    vm->killed || vm->obstacles > 0 || soak_now(soak) < vm->start_due)
 		return;
 	vm->start_late = true;
-	soak_record_violation(soak, "%s did not start within %.0f ms", vm->name,
-	    SOAK_START_BOUND);
+	soak_record_violation(
+	    soak, "%s did not start within %.0f ms", vm->name, VM_START_BOUND);
 }
 
 static void
-check_vm(struct soak *soak, struct soak_vm *vm)
+check_vm(struct vm *vm)
 {
 	int status;
 
 	if (vm->pid != 0 && waitpid(vm->pid, &status, WNOHANG) == vm->pid)
-		record_exit(soak, vm, status);
+		record_exit(vm, status);
 	if (vm->pid == 0 && vm->restart_at != 0 &&
-	    soak_now(soak) >= vm->restart_at)
-		soak_vm_start(soak, vm);
+	    soak_now(vm->vms->soak) >= vm->restart_at)
+		vm_start(vm);
 	if (vm->pid == 0)
 		return;
-	check_memory(soak, vm);
-	check_start(soak, vm);
+	check_memory(vm);
+	check_start(vm);
 }
 
 void
-soak_check_vms(struct soak *soak)
+vms_check(struct vms *vms)
 {
-	for (unsigned i = 0; i < soak->n_vms; i++)
-		check_vm(soak, &soak->vms[i]);
+	for (unsigned i = 0; i < vms->n; i++)
+		check_vm(&vms->all[i]);
 }
 
 /* Kills a process and reads the rest of its output. */
@@ -182,10 +304,10 @@
 }
 
 void
-soak_kill_vms(struct soak *soak)
+vms_kill(struct vms *vms)
 {
-	for (unsigned i = 0; i < soak->n_vms; i++) {
-		struct soak_vm *vm = &soak->vms[i];
+	for (unsigned i = 0; i < vms->n; i++) {
+		struct vm *vm = &vms->all[i];
 
 		kill_process(vm->pid, vm->output);
 		kill_process(vm->former_pid, vm->former_output);
@@ -193,3 +315,32 @@
 		vm->former_pid = 0;
 	}
 }
+
+void
+vms_start(struct vms *vms)
+{
+	for (unsigned i = 0; i < vms->n; i++)
+		vm_start(&vms->all[i]);
+}
+
+unsigned
+vms_count(const struct vms *vms)
+{
+	return vms->n;
+}
+
+struct vm *
+vms_get(struct vms *vms, unsigned i)
+{
+	return &vms->all[i];
+}
+
+struct vm *
+vms_find(struct vms *vms, const char *callers)
+{
+	for (unsigned i = 0; i < vms->n; i++) {
+		if (g_str_equal(vms->all[i].listeners[VM_CALLERS], callers))
+			return &vms->all[i];
+	}
+	return NULL;
+}
