Let the soak bound the duration of a planned stop

A process that was asked to stop and stayed was no violation: it was exempt from all checks of its state, and its callers from those of their answers, until the end of the run.

A process must now have ended within stop_s of its settings after the signal, a pause by SIGSTOP excepted; else it is a violation, and the soak kills it like a launcher.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -51,11 +51,7 @@
 	struct faults *faults = action->owner;
 	struct vm *vm = vms_get(faults->parts.vms, action->index);
 
-	if (vm->pid != 0 && vm->paused)
-		kill(vm->pid, SIGCONT);
-	vm->paused = false;
-	vm->start_due =
-	    MAX(vm->start_due, soak_now(faults->soak) + VM_START_BOUND);
+	vm_resume(vm);
 	action_destroy(action);
 }
 
@@ -68,8 +64,7 @@
 	    faults->soak, "%s is paused for %.0f ms", vm->name, duration);
 	if (vm->pid == 0)
 		return;
-	kill(vm->pid, SIGSTOP);
-	vm->paused = true;
+	vm_pause(vm);
 	vm_mark_affected(vm, duration);
 	schedule(faults, duration, i, resume_vm);
 }
--- a/soak/signals.c
+++ b/soak/signals.c
@@ -82,18 +82,6 @@
 	action_repeat(action, 0);
 }
 
-static void
-send_pending(struct vm *vm)
-{
-	static const int numbers[] = {SIGHUP, SIGINT, SIGTERM};
-
-	for (unsigned i = 0; i < G_N_ELEMENTS(numbers); i++) {
-		if (vm->pending_signals & 1u << numbers[i])
-			kill(vm->pid, numbers[i]);
-	}
-	vm->pending_signals = 0;
-}
-
 static void
 check_guarded(struct action *action)
 {
@@ -119,8 +107,7 @@
 	if (!vm->guarded)
 		soak_record_violation(soak, "%s was not guarded within %.0f ms",
 		    vm->name, GUARD_BOUND);
-	vm->guarded = true;
-	send_pending(vm);
+	vm_set_guarded(vm);
 	draw_series(action);
 }
 
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -17,8 +17,13 @@
 #define MAX_MEMORY_KB (260ul * 1000)
 /** Time between the end of a process and its restart, ms. */
 #define RESTART_DELAY 200.0
-/** Maximum duration of a planned stop, by the settings, s. */
+/**
+ * Maximum duration of a planned stop, by the settings, s. A server aims at
+ * half a second less.
+ */
 #define STOP_S 4
+/** Time for the rest of a stop whose limit has passed during a pause, ms. */
+#define RESUMED_STOP_TIME 1000.0
 
 /* An observer and its data. */
 struct observer {
@@ -167,6 +172,27 @@
 	vm_mark_affected(vm, VM_START_BOUND);
 }
 
+void
+vm_pause(struct vm *vm)
+{
+	if (vm->pid == 0)
+		return;
+	kill(vm->pid, SIGSTOP);
+	vm->paused = true;
+}
+
+void
+vm_resume(struct vm *vm)
+{
+	wv_msec now = soak_now(vm->vms->soak);
+
+	if (vm->pid != 0 && vm->paused)
+		kill(vm->pid, SIGCONT);
+	vm->paused = false;
+	vm->start_due = MAX(vm->start_due, now + VM_START_BOUND);
+	vm->stop_due = MAX(vm->stop_due, now + RESUMED_STOP_TIME);
+}
+
 void
 vm_signal(struct vm *vm, int number)
 {
@@ -178,11 +204,34 @@
 		vm->pending_signals |= 1u << number;
 }
 
+static void
+start_stop_bound(struct vm *vm)
+{
+	vm->stop_due = soak_now(vm->vms->soak) + STOP_S * 1000;
+}
+
+void
+vm_set_guarded(struct vm *vm)
+{
+	static const int numbers[] = {SIGHUP, SIGINT, SIGTERM};
+
+	vm->guarded = true;
+	for (unsigned i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		if (vm->pending_signals & 1u << numbers[i])
+			kill(vm->pid, numbers[i]);
+	}
+	vm->pending_signals = 0;
+	if (vm->stopping)
+		start_stop_bound(vm);
+}
+
 void
 vm_stop(struct vm *vm, int number)
 {
 	if (vm->pid == 0)
 		return;
+	if (!vm->stopping)
+		start_stop_bound(vm);
 	vm->stopping = true;
 	vm_signal(vm, number);
 }
@@ -269,6 +318,21 @@
 	    soak, "%s did not start within %.0f ms", vm->name, VM_START_BOUND);
 }
 
+/* Checks that a planned stop ends in time; else kills it like a launcher. */
+static void
+check_stop(struct vm *vm)
+{
+	struct soak *soak = vm->vms->soak;
+
+	if (!vm->stopping || !vm->guarded || vm->paused || vm->killed ||
+	    soak_now(soak) < vm->stop_due)
+		return;
+	soak_record_violation(
+	    soak, "%s did not stop within %d s", vm->name, STOP_S);
+	vm->killed = true;
+	kill(vm->pid, SIGKILL);
+}
+
 static void
 check_vm(struct vm *vm)
 {
@@ -283,6 +347,7 @@
 		return;
 	check_memory(vm);
 	check_start(vm);
+	check_stop(vm);
 }
 
 void
--- a/soak/vms.h
+++ b/soak/vms.h
@@ -56,6 +56,7 @@
 	bool too_large; /**< its memory has exceeded the limit */
 	unsigned obstacles; /**< to a start, at present */
 	wv_msec start_due; /**< it must have answered a caller by then */
+	wv_msec stop_due; /**< a planned stop must have ended it by then */
 	wv_msec guard_due; /**< signals must not end it from then on */
 	wv_msec served_at; /**< last answer with status 200 to a probe */
 	wv_msec affected_until; /**< its requests may fail until then */
@@ -93,7 +94,8 @@
 /**
  * Reaps processes that have ended and restarts those whose restart is due. An
  * unexpected end is a violation, and so are a process that does not answer
- * callers in time and one that needs too much memory.
+ * callers in time, one that needs longer for a planned stop than its settings
+ * allow, and one that needs too much memory.
  */
 void vms_check(struct vms *vms);
 
@@ -121,9 +123,16 @@
 void vm_begin_obstacle(struct vm *vm, wv_msec duration);
 void vm_end_obstacle(struct vm *vm);
 
+/** Stops a running process by SIGSTOP, and continues it if it is stopped. */
+void vm_pause(struct vm *vm);
+void vm_resume(struct vm *vm);
+
 /** Sends a signal to the process of a VM, as soon as it is guarded. */
 void vm_signal(struct vm *vm, int number);
 
+/** Notes that the process of a VM is guarded, and sends it what is pending. */
+void vm_set_guarded(struct vm *vm);
+
 /** Requests a planned stop of a VM by SIGTERM or SIGINT. */
 void vm_stop(struct vm *vm, int number);
 
