Exempt no start from its bound that has no obstacle

"did not start within 3000 ms" covers every restart, also after SIGKILL and beside a former process, from the end of the last obstacle on. Two things exempted starts that nothing hinders:

- A held port of the addresses, readiness, peers or metrics counted as an obstacle, though each address is waited for by itself and callers are served without them.
Only the callers' port counts now.
- The end of a pause gave another 3 s to the process that then ran, also if the paused one had been killed meanwhile.
Only the process that was paused gets them now.

--- a/soak/obstacles.c
+++ b/soak/obstacles.c
@@ -60,6 +60,7 @@
 struct holder {
 	struct vm *vm;
 	int fd;
+	bool obstacle; /* without the port, the VM can't answer callers */
 };
 
 /* A settings file that is not whole. */
@@ -112,7 +113,8 @@
 
 	setsockopt(holder->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 	close(holder->fd);
-	vm_end_obstacle(holder->vm);
+	if (holder->obstacle)
+		vm_end_obstacle(holder->vm);
 	g_free(holder);
 	action_destroy(action);
 }
@@ -138,7 +140,9 @@
 	holder = g_new0(struct holder, 1);
 	holder->vm = vm;
 	holder->fd = fd;
-	vm_begin_obstacle(vm, duration);
+	holder->obstacle = i == VM_CALLERS;
+	if (holder->obstacle)
+		vm_begin_obstacle(vm, duration);
 	action_schedule(soak, duration, vm, release_port)->data = holder;
 }
 
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -186,8 +186,10 @@
 {
 	wv_msec now = soak_now(vm->vms->soak);
 
-	if (vm->pid != 0 && vm->paused)
-		kill(vm->pid, SIGCONT);
+	/* A later process than the one that was paused gets no more time. */
+	if (vm->pid == 0 || !vm->paused)
+		return;
+	kill(vm->pid, SIGCONT);
 	vm->paused = false;
 	vm->start_due = MAX(vm->start_due, now + VM_START_BOUND);
 	vm->stop_due = MAX(vm->stop_due, now + RESUMED_STOP_TIME);
