Check in the soak each VM that a searcher tells that it is leaving

The check of draining searchers counted requests to those whose entry drains too. A searcher that says Server-Leaving while its entry stays ready was drawn in a quarter of the drains and never checked, since VMs that restart, or that it has not answered yet, don't know.

Requests of the soak now name the process of the VM that they are sent to, and the proxy in front of a searcher shows them and the answers that it passes on. So the soak knows which process was told, and when: a request of it that arrives more than drainMs (3 s) later, before the next incarnation of the searcher, is a violation. Searchers that only say so are a fault of their own.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -57,7 +57,7 @@
 	bool order;
 	bool abandons; /* abandons the request early */
 	bool sent_unaffected; /* the VM was unaffected when it was sent */
-	char id[32]; /* of the request */
+	char id[48]; /* of the request */
 };
 
 static void
@@ -329,12 +329,15 @@
 	guint i = soak_random_below(soak, caller->addresses->len);
 	const char *address = caller->addresses->pdata[i];
 	GString *text = g_string_new(NULL);
+	char tag[VM_TAG_SIZE] = "";
 
 	caller->vm = vms_find(caller->vms, address);
+	if (caller->vm != NULL)
+		vm_write_tag(caller->vm, tag);
 	caller->order = soak_random_below(soak, ORDER_EVERY) == 0;
 	caller->abandons = soak_random_below(soak, ABANDON_EVERY) == 0;
-	g_snprintf(caller->id, sizeof(caller->id), "%x-%u-%u", soak_seed(soak),
-	    caller->number, ++caller->count);
+	g_snprintf(caller->id, sizeof(caller->id), "%s%x-%u-%u", tag,
+	    soak_seed(soak), caller->number, ++caller->count);
 	g_string_append_printf(text,
 	    "%s /%s/q?n=%u HTTP/1.1\r\nHost: maps.example\r\n"
 	    "%s: %s\r\n%s: %d\r\n",
--- a/soak/drains.c
+++ b/soak/drains.c
@@ -5,8 +5,12 @@
  */
 #include "soak/action.h"
 #include "soak/drains.h"
+#include "soak/leaving.h"
 
-/** Time after which a draining searcher must receive no new requests, ms. */
+/**
+ * Time after which a draining searcher must receive no new requests, ms: the
+ * platform's drainMs.
+ */
 #define DRAIN_BOUND 3000.0
 /** Time after DRAIN_BOUND during which requests to it are counted, ms. */
 #define DRAIN_CHECK_TIME 1500.0
@@ -16,6 +20,7 @@
 	bool active;
 	bool in_store; /* the searcher's entry says that it drains */
 	uint64_t arrivals; /* by DRAIN_BOUND */
+	struct leaving *leaving;
 };
 
 struct drains {
@@ -25,12 +30,15 @@
 };
 
 struct drains *
-drains_create(struct soak *soak, struct cluster *cluster)
+drains_create(struct soak *soak, struct cluster *cluster, struct vms *vms)
 {
 	struct drains *drains = g_new0(struct drains, 1);
 
 	drains->soak = soak;
 	drains->cluster = cluster;
+	for (unsigned i = 0; i < CLUSTER_SEARCHERS; i++)
+		drains->all[i].leaving = leaving_create(
+		    soak, vms, cluster_link(cluster, i), i, DRAIN_BOUND);
 	return drains;
 }
 
@@ -54,7 +62,7 @@
 	}
 	/*
 	 * If only its answers say that it is leaving, VMs that restart or that
-	 * it has not answered yet don't know.
+	 * it has not answered yet don't know; drain->leaving checks the others.
 	 */
 	if (drain->in_store && arrivals != drain->arrivals &&
 	    soak_now(drains->soak) >
@@ -64,13 +72,15 @@
 		    "draining searcher %u got %u requests after the bound",
 		    action->index, (unsigned)(arrivals - drain->arrivals));
 	drain->active = false;
+	leaving_end(drain->leaving);
 	cluster_set_leaving(drains->cluster, action->index, false);
 	cluster_restart_searcher(drains->cluster, action->index);
 	action_destroy(action);
 }
 
-void
-drains_begin(struct drains *drains)
+/* Begins the drain of a random searcher that doesn't drain yet. */
+static void
+begin(struct drains *drains, bool in_store, bool in_answers)
 {
 	struct soak *soak = drains->soak;
 	/*
@@ -81,7 +91,6 @@
 	    soak_random_below(soak, CLUSTER_SERVICES) * CLUSTER_REPLICAS + 1 +
 	    soak_random_below(soak, CLUSTER_REPLICAS - 1);
 	struct drain *drain = &drains->all[i];
-	bool in_answers;
 
 	/*
 	 * A second drain must not overlap the first: requests that arrive
@@ -90,12 +99,26 @@
 	if (drain->active)
 		return;
 	drain->active = true;
-	in_answers = soak_random_below(soak, 2) == 0;
-	drain->in_store = !in_answers || soak_random_below(soak, 2) == 0;
+	drain->in_store = in_store;
 	soak_record_fault(soak, "searcher %u drains, by its%s%s", i,
-	    drain->in_store ? " entry" : "", in_answers ? " answers" : "");
-	cluster_set_leaving(drains->cluster, i, in_answers);
-	if (drain->in_store)
+	    in_store ? " entry" : "", in_answers ? " answers" : "");
+	if (in_answers) {
+		cluster_set_leaving(drains->cluster, i, true);
+		leaving_begin(drain->leaving);
+	}
+	if (in_store)
 		cluster_write_searcher(drains->cluster, i, true);
 	action_schedule(soak, DRAIN_BOUND, drains, check_drained)->index = i;
 }
+
+void
+drains_begin(struct drains *drains)
+{
+	begin(drains, true, soak_random_below(drains->soak, 2) == 0);
+}
+
+void
+drains_begin_unannounced(struct drains *drains)
+{
+	begin(drains, false, true);
+}
--- a/soak/drains.h
+++ b/soak/drains.h
@@ -7,15 +7,20 @@
 #define WISTERIAVANE_SOAK_DRAINS_H
 
 #include "soak/cluster.h"
+#include "soak/vms.h"
 
 struct drains;
 
-struct drains *drains_create(struct soak *soak, struct cluster *cluster);
+struct drains *drains_create(
+    struct soak *soak, struct cluster *cluster, struct vms *vms);
 
 /**
- * Begins the drain of a random searcher, by its entry, its answers or both. It
- * ends by itself with a new incarnation of the searcher.
+ * Begins the drain of a random searcher, by its entry and perhaps its answers
+ * too. It ends by itself with a new incarnation of the searcher.
  */
 void drains_begin(struct drains *drains);
 
+/** Begins a drain of which only the answers of the searcher tell. */
+void drains_begin_unannounced(struct drains *drains);
+
 #endif
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -304,7 +304,7 @@
 	unsigned vm =
 	    soak_random_below(faults->soak, vms_count(faults->parts.vms));
 
-	switch (soak_random_below(faults->soak, 20)) {
+	switch (soak_random_below(faults->soak, 21)) {
 	case 0:
 		pause_vm(faults, vm, duration);
 		break;
@@ -353,6 +353,9 @@
 	case 18:
 		start_series(faults, vm);
 		break;
+	case 19:
+		drains_begin_unannounced(faults->parts.drains);
+		break;
 	default:
 		change_routes(faults);
 		break;
--- a/soak/main.c
+++ b/soak/main.c
@@ -25,8 +25,6 @@
 #define TIME_AFTER_FAULTS 7500.0
 /** Interval at which the processes are checked, ms. */
 #define CHECK_INTERVAL 10
-/** Maximum number of VMs in a run. */
-#define MAX_VMS 8
 /** Number of callers in a run. */
 #define CALLERS 24
 /** Time before the end of a run in which each VM must serve a probe, ms. */
@@ -158,7 +156,7 @@
 	faults.cluster = parts->cluster;
 	faults.vms = parts->vms;
 	faults.obstacles = obstacles_create(soak, parts->vms);
-	faults.drains = drains_create(soak, parts->cluster);
+	faults.drains = drains_create(soak, parts->cluster, parts->vms);
 	vms_start(parts->vms);
 	run_until(parts, soak_now(soak) + START_TIME);
 	soak_set_faults_end(soak, soak_now(soak) + options->seconds * 1000);
@@ -227,7 +225,7 @@
 		options->seconds = g_ascii_strtod(arg, NULL);
 		return 0;
 	case 'n':
-		options->vms = MIN((unsigned)strtoul(arg, NULL, 10), MAX_VMS);
+		options->vms = MIN((unsigned)strtoul(arg, NULL, 10), VMS_MAX);
 		return 0;
 	case 'r':
 		options->report = arg;
--- a/soak/probes.c
+++ b/soak/probes.c
@@ -62,12 +62,14 @@
 	static const struct client_ops ops = {on_answer, on_end};
 	const struct platform_adapter *adapter = platform_get_adapter();
 	GString *text = g_string_new(NULL);
+	char tag[VM_TAG_SIZE];
 
+	vm_write_tag(probe->vm, tag);
 	g_string_append_printf(text,
 	    "GET /search/q?n=1 HTTP/1.1\r\nHost: maps.example\r\n"
-	    "%s: %s-%u\r\n%s: %d\r\n\r\n",
-	    adapter->request_id, probe->vm->name, ++probe->count,
-	    adapter->deadline, PROBE_DEADLINE_MS);
+	    "%s: %sprobe-%u\r\n%s: %d\r\n\r\n",
+	    adapter->request_id, tag, ++probe->count, adapter->deadline,
+	    PROBE_DEADLINE_MS);
 	probe->pid = probe->vm->pid;
 	probe->intervals = 0;
 	probe->client = client_create(soak_base(probe->soak),
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -45,8 +45,20 @@
 	char *target;
 	enum proxy_mode mode;
 	GQueue connections;
+	proxy_observer observer; /* or NULL */
+	void *observer_data;
 };
 
+static void
+notify(const struct flow *flow, char *bytes, size_t length)
+{
+	const struct proxy *proxy = flow->connection->proxy;
+
+	if (proxy->observer != NULL)
+		proxy->observer(proxy->observer_data, flow->connection,
+		    flow->from_target, (struct wv_string){bytes, length});
+}
+
 static void
 connection_close(struct connection *connection, bool reset)
 {
@@ -99,6 +111,8 @@
 			connection_close(flow->connection, true);
 			return false;
 		}
+		if (flow->from_target)
+			notify(flow, flow->buffered->str, (size_t)n);
 		g_string_erase(flow->buffered, 0, n);
 	}
 	return true;
@@ -128,6 +142,8 @@
 			connection_close(flow->connection, n < 0);
 		return;
 	}
+	if (!flow->from_target)
+		notify(flow, buffer, (size_t)n);
 	g_string_append_len(flow->buffered, buffer, n);
 	if (flow->connection->proxy->mode == PROXY_DELAY)
 		event_add(flow->delay_timer, &time);
@@ -209,6 +225,13 @@
 	g_list_free(all);
 }
 
+void
+proxy_observe(struct proxy *proxy, proxy_observer observer, void *data)
+{
+	proxy->observer = observer;
+	proxy->observer_data = data;
+}
+
 const char *
 proxy_address(const struct proxy *proxy)
 {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -11,6 +11,16 @@
 
 struct proxy;
 
+/**
+ * Observes the bytes of a connection: those to the target when they arrive,
+ * those from the target when they are passed on.
+ *
+ * @param connection  identifies the connection as long as it is open
+ * @param bytes       borrowed
+ */
+typedef void (*proxy_observer)(void *data, const void *connection,
+    bool from_target, struct wv_string bytes);
+
 /** What a proxy does with its connections. */
 enum proxy_mode {
 	PROXY_FORWARD, /**< forwards bytes */
@@ -30,6 +40,9 @@
 /** Sets the mode; buffered bytes are forwarded if the new mode allows it. */
 void proxy_set_mode(struct proxy *proxy, enum proxy_mode mode);
 
+/** Sets the only observer of the proxy. */
+void proxy_observe(struct proxy *proxy, proxy_observer observer, void *data);
+
 /** Returns the listen address, IP:PORT. Borrowed. */
 const char *proxy_address(const struct proxy *proxy);
 
--- a/soak/vms.c
+++ b/soak/vms.c
@@ -68,6 +68,7 @@
 	struct vm *vm = &vms->all[i];
 
 	vm->vms = vms;
+	vm->index = i;
 	vm->name = g_strdup_printf("vm%u", i);
 	vm->settings =
 	    g_strdup_printf("%s/%s.json", soak_directory(soak), vm->name);
@@ -142,6 +143,8 @@
 	vm->start_late = false;
 	vm->too_large = false;
 	vm->restart_at = 0;
+	vm->resumed_at = 0;
+	vm->starts++;
 	vm->start_due = soak_now(soak) + VM_START_BOUND;
 	vm->affected_until =
 	    MAX(vm->affected_until, soak_now(soak) + START_GRACE);
@@ -191,6 +194,7 @@
 		return;
 	kill(vm->pid, SIGCONT);
 	vm->paused = false;
+	vm->resumed_at = now;
 	vm->start_due = MAX(vm->start_due, now + VM_START_BOUND);
 	vm->stop_due = MAX(vm->stop_due, now + RESUMED_STOP_TIME);
 }
@@ -411,3 +415,22 @@
 	}
 	return NULL;
 }
+
+void
+vm_write_tag(const struct vm *vm, char tag[VM_TAG_SIZE])
+{
+	g_snprintf(tag, VM_TAG_SIZE, "%s-%u-", vm->name, vm->starts);
+}
+
+struct vm *
+vms_find_tagged(struct vms *vms, const char *request)
+{
+	char tag[VM_TAG_SIZE];
+
+	for (unsigned i = 0; i < vms->n; i++) {
+		vm_write_tag(&vms->all[i], tag);
+		if (g_str_has_prefix(request, tag))
+			return &vms->all[i];
+	}
+	return NULL;
+}
--- a/soak/vms.h
+++ b/soak/vms.h
@@ -18,6 +18,11 @@
  */
 #define VM_START_BOUND 3000.0
 
+/** Maximum number of VMs. */
+#define VMS_MAX 8
+/** Size of a buffer for the tag of a process, bytes with the NUL. */
+#define VM_TAG_SIZE 16
+
 struct vms;
 
 /** What a VM listens on for TCP connections; it also receives UDP as peer. */
@@ -36,7 +41,9 @@
 /** One entry VM. Times are monotonic, ms. */
 struct vm {
 	struct vms *vms;
+	unsigned index;
 	char *name;
+	unsigned starts; /**< processes started */
 	pid_t pid; /**< 0: not running */
 	struct output *output; /**< standard output of the process */
 	pid_t former_pid; /**< a stopped process that holds the ports, or 0 */
@@ -58,6 +65,7 @@
 	wv_msec start_due; /**< it must have answered a caller by then */
 	wv_msec stop_due; /**< a planned stop must have ended it by then */
 	wv_msec guard_due; /**< signals must not end it from then on */
+	wv_msec resumed_at; /**< end of the last pause of the process */
 	wv_msec served_at; /**< last answer with status 200 to a probe */
 	wv_msec affected_until; /**< its requests may fail until then */
 	wv_msec restart_at; /**< 0: no restart is due */
@@ -110,6 +118,15 @@
 /** Returns the VM that serves callers at an address, or NULL. Borrowed. */
 struct vm *vms_find(struct vms *vms, const char *callers);
 
+/**
+ * Writes a tag that names the present process of a VM. It begins the
+ * identifiers of the requests that are sent to the process.
+ */
+void vm_write_tag(const struct vm *vm, char tag[VM_TAG_SIZE]);
+
+/** Returns the VM whose present process a request names, or NULL. Borrowed. */
+struct vm *vms_find_tagged(struct vms *vms, const char *request);
+
 /** Starts the process of a VM. */
 void vm_start(struct vm *vm);
 
