Run the soak beside entries of the store that can't be read

The soak wrote one such entry, nested too deeply, among the searchers and removed it within 2 s. A VM that read no list meanwhile would have recovered before the checks after the last fault, so hidden entries showed only as refusals, which the soak allows.

Entries are now nested too deeply, cut, or nameless, among the searchers, the routes or the VMs. Half of the runs begin beside some, and half of those that are drawn later stay until the end. A searcher that gets no request from 5 s after the last fault on is a violation.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -17,10 +17,6 @@
 /** Most faults of a series, and longest time between two of them, ms. */
 #define MAX_SERIES 8
 #define MAX_SERIES_INTERVAL 250.0
-/** Entry of another writer that can't be read. */
-#define UNREADABLE_NAME "i-unreadable"
-#define UNREADABLE_DEPTH 100
-
 struct faults {
 	struct soak *soak;
 	struct faults_config parts;
@@ -210,37 +206,6 @@
 	standin_store_discard_history(cluster_store(faults->parts.cluster));
 }
 
-static void
-remove_unreadable(struct action *action)
-{
-	struct faults *faults = action->owner;
-
-	standin_store_remove(cluster_store(faults->parts.cluster),
-	    STANDIN_KIND_SEARCHERS, UNREADABLE_NAME);
-	action_destroy(action);
-}
-
-/* Writes an entry of another writer that is nested too deeply to be parsed. */
-static void
-write_unreadable(struct faults *faults, wv_msec duration)
-{
-	JsonObject *spec = json_object_new();
-	JsonArray *array = json_array_new();
-
-	for (unsigned i = 0; i < UNREADABLE_DEPTH; i++) {
-		JsonArray *outer = json_array_new();
-
-		json_array_add_array_element(outer, array);
-		array = outer;
-	}
-	json_object_set_array_member(spec, "zone", array);
-	soak_record_fault(
-	    faults->soak, "an entry can't be read for %.0f ms", duration);
-	standin_store_write(cluster_store(faults->parts.cluster),
-	    STANDIN_KIND_SEARCHERS, UNREADABLE_NAME, spec);
-	schedule(faults, duration, 0, remove_unreadable);
-}
-
 static void
 change_routes(struct faults *faults)
 {
@@ -338,7 +303,7 @@
 		discard_history(faults);
 		break;
 	case 12:
-		write_unreadable(faults, duration);
+		unreadable_write(faults->parts.unreadable, duration);
 		break;
 	case 13:
 		fail_searcher(faults, duration);
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -7,6 +7,7 @@
 
 #include "soak/drains.h"
 #include "soak/obstacles.h"
+#include "soak/unreadable.h"
 
 /** What faults are injected into; all pointers are borrowed. */
 struct faults_config {
@@ -14,6 +15,7 @@
 	struct vms *vms;
 	struct obstacles *obstacles;
 	struct drains *drains;
+	struct unreadable *unreadable;
 };
 
 /** Starts to inject faults, until the time that soak_set_faults_end() sets. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -17,12 +17,18 @@
 #include "soak/probes.h"
 #include "soak/report.h"
 #include "soak/signals.h"
+#include "soak/unreadable.h"
 #include "soak/vms.h"
 #include "standin/common/ports.h"
 
 /** Time for the VMs to start, and to recover after the last fault, ms. */
 #define START_TIME 2500.0
 #define TIME_AFTER_FAULTS 7500.0
+/**
+ * Time after the last fault from which each searcher must get requests, ms;
+ * drains have ended by then.
+ */
+#define RECOVERY_TIME 5000.0
 /** Interval at which the processes are checked, ms. */
 #define CHECK_INTERVAL 10
 /** Number of callers in a run. */
@@ -49,6 +55,8 @@
 	struct cluster *cluster;
 	struct vms *vms;
 	struct callers *callers;
+	/** Requests of each searcher by RECOVERY_TIME after the last fault. */
+	uint64_t arrivals[CLUSTER_SEARCHERS];
 };
 
 /* A periodic check of the processes, which ends the event loop at a time. */
@@ -108,6 +116,25 @@
 	json_object_unref(report);
 }
 
+static void
+note_arrivals(struct parts *parts)
+{
+	for (unsigned i = 0; i < CLUSTER_SEARCHERS; i++)
+		parts->arrivals[i] = cluster_arrivals(parts->cluster, i);
+}
+
+/* Checks that no searcher has been forgotten, or hidden by another's entry. */
+static void
+check_searchers(const struct parts *parts)
+{
+	for (unsigned i = 0; i < CLUSTER_SEARCHERS; i++) {
+		if (cluster_arrivals(parts->cluster, i) == parts->arrivals[i])
+			soak_record_violation(parts->soak,
+			    "searcher %u gets no requests after the last fault",
+			    i);
+	}
+}
+
 /* Checks that all VMs serve again after the last fault. */
 static void
 check_recovery(const struct parts *parts)
@@ -157,15 +184,19 @@
 	faults.vms = parts->vms;
 	faults.obstacles = obstacles_create(soak, parts->vms);
 	faults.drains = drains_create(soak, parts->cluster, parts->vms);
+	faults.unreadable = unreadable_create(soak, parts->cluster);
 	vms_start(parts->vms);
 	run_until(parts, soak_now(soak) + START_TIME);
 	soak_set_faults_end(soak, soak_now(soak) + options->seconds * 1000);
 	parts->callers = callers_create(soak, parts->vms, CALLERS);
 	probes_create(soak, parts->vms);
 	faults_create(soak, &faults);
+	run_until(parts, soak_faults_end(soak) + RECOVERY_TIME);
+	note_arrivals(parts);
 	run_until(parts, soak_faults_end(soak) + TIME_AFTER_FAULTS);
 	check_orders(parts);
 	check_recovery(parts);
+	check_searchers(parts);
 	vms_kill(parts->vms);
 	g_free(ports);
 }
