Probe the VMs of the soak from their start on

"vm0 did not start within 3000 ms" was reported 3.0 s after the begin of a run: the first probes were sent only 2.7 s after the start of the processes, and on a busy machine (load 13 on 8 cores) their answers came too late.

The probes now begin with the processes, so that the whole bound counts.

--- a/soak/main.c
+++ b/soak/main.c
@@ -186,10 +186,10 @@
 	faults.drains = drains_create(soak, parts->cluster, parts->vms);
 	faults.unreadable = unreadable_create(soak, parts->cluster);
 	vms_start(parts->vms);
+	probes_create(soak, parts->vms);
 	run_until(parts, soak_now(soak) + START_TIME);
 	soak_set_faults_end(soak, soak_now(soak) + options->seconds * 1000);
 	parts->callers = callers_create(soak, parts->vms, CALLERS);
-	probes_create(soak, parts->vms);
 	faults_create(soak, &faults);
 	run_until(parts, soak_faults_end(soak) + RECOVERY_TIME);
 	note_arrivals(parts);
