Release the parts of the soak at the end of a run

The address sanitizer reported 771 bytes leaked and failed the run: once the last fault had ended nothing referred to the faults and, through them, to the drains, the unreadable entries and the cluster. They were members of one struct on the stack before the soak was cut into parts.

They have destroy functions now, which soak/main.c calls at the end of a run.

--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -63,6 +63,13 @@
 	return cluster;
 }
 
+void
+cluster_destroy(struct cluster *cluster)
+{
+	g_free(cluster->store_address);
+	g_free(cluster);
+}
+
 struct standin_store *
 cluster_store(struct cluster *cluster)
 {
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -23,6 +23,12 @@
 /** Creates the store, the searchers and the proxies, with their entries. */
 struct cluster *cluster_create(struct soak *soak, const unsigned int *ports);
 
+/**
+ * Releases the cluster, but not its store, searchers and proxies; the event
+ * loop must not run any more.
+ */
+void cluster_destroy(struct cluster *cluster);
+
 /** Returns the store, and its address IP:PORT. Borrowed. */
 struct standin_store *cluster_store(struct cluster *cluster);
 const char *cluster_store_address(const struct cluster *cluster);
--- a/soak/drains.c
+++ b/soak/drains.c
@@ -42,6 +42,12 @@
 	return drains;
 }
 
+void
+drains_destroy(struct drains *drains)
+{
+	g_free(drains);
+}
+
 /*
  * Runs twice: DRAIN_BOUND after the start of a drain it reads the number of
  * requests that the searcher has received, and DRAIN_CHECK_TIME later it checks
--- a/soak/drains.h
+++ b/soak/drains.h
@@ -14,6 +14,9 @@
 struct drains *drains_create(
     struct soak *soak, struct cluster *cluster, struct vms *vms);
 
+/** Releases the drains; the event loop must not run any more. */
+void drains_destroy(struct drains *drains);
+
 /**
  * Begins the drain of a random searcher, by its entry and perhaps its answers
  * too. It ends by itself with a new incarnation of the searcher.
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -343,7 +343,7 @@
 		faults->soak, MIN_FAULT_INTERVAL, MAX_FAULT_INTERVAL));
 }
 
-void
+struct faults *
 faults_create(struct soak *soak, const struct faults_config *config)
 {
 	struct faults *faults = g_new0(struct faults, 1);
@@ -351,4 +351,11 @@
 	faults->soak = soak;
 	faults->parts = *config;
 	schedule(faults, MAX_FAULT_INTERVAL, 0, inject_next_fault);
+	return faults;
+}
+
+void
+faults_destroy(struct faults *faults)
+{
+	g_free(faults);
 }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -9,6 +9,8 @@
 #include "soak/obstacles.h"
 #include "soak/unreadable.h"
 
+struct faults;
+
 /** What faults are injected into; all pointers are borrowed. */
 struct faults_config {
 	struct cluster *cluster;
@@ -19,6 +21,10 @@
 };
 
 /** Starts to inject faults, until the time that soak_set_faults_end() sets. */
-void faults_create(struct soak *soak, const struct faults_config *config);
+struct faults *faults_create(
+    struct soak *soak, const struct faults_config *config);
+
+/** Releases the faults; the event loop must not run any more. */
+void faults_destroy(struct faults *faults);
 
 #endif
--- a/soak/main.c
+++ b/soak/main.c
@@ -172,7 +172,8 @@
 	    .check_memory = !options->skip_memory_check,
 	    .n = options->vms,
 	    .ports = ports + CLUSTER_PORTS};
-	struct faults_config faults = {0};
+	struct faults_config config = {0};
+	struct faults *faults;
 
 	if (!standin_free_ports(ports, n))
 		exit(EXIT_FAILURE);
@@ -180,17 +181,17 @@
 	vms.store = cluster_store_address(parts->cluster);
 	parts->vms = vms_create(soak, &vms);
 	signals_create(soak, parts->vms);
-	faults.cluster = parts->cluster;
-	faults.vms = parts->vms;
-	faults.obstacles = obstacles_create(soak, parts->vms);
-	faults.drains = drains_create(soak, parts->cluster, parts->vms);
-	faults.unreadable = unreadable_create(soak, parts->cluster);
+	config.cluster = parts->cluster;
+	config.vms = parts->vms;
+	config.obstacles = obstacles_create(soak, parts->vms);
+	config.drains = drains_create(soak, parts->cluster, parts->vms);
+	config.unreadable = unreadable_create(soak, parts->cluster);
 	vms_start(parts->vms);
 	probes_create(soak, parts->vms);
 	run_until(parts, soak_now(soak) + START_TIME);
 	soak_set_faults_end(soak, soak_now(soak) + options->seconds * 1000);
 	parts->callers = callers_create(soak, parts->vms, CALLERS);
-	faults_create(soak, &faults);
+	faults = faults_create(soak, &config);
 	run_until(parts, soak_faults_end(soak) + RECOVERY_TIME);
 	note_arrivals(parts);
 	run_until(parts, soak_faults_end(soak) + TIME_AFTER_FAULTS);
@@ -198,6 +199,10 @@
 	check_recovery(parts);
 	check_searchers(parts);
 	vms_kill(parts->vms);
+	faults_destroy(faults);
+	unreadable_destroy(config.unreadable);
+	drains_destroy(config.drains);
+	cluster_destroy(parts->cluster);
 	g_free(ports);
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,8 +4,8 @@
  *
  * The soak runs entry VMs as real processes, injects faults into them and their
  * connections from outside, and checks what callers and searchers see. It runs
- * on one thread. The parts of a run are created in soak/main.c and live, like
- * the run, as long as the process.
+ * on one thread. The parts of a run are created in soak/main.c; those without
+ * a destroy function live, like the run, as long as the process.
  */
 #ifndef WISTERIAVANE_SOAK_SOAK_H
 #define WISTERIAVANE_SOAK_SOAK_H
--- a/soak/unreadable.c
+++ b/soak/unreadable.c
@@ -86,6 +86,12 @@
 	return unreadable;
 }
 
+void
+unreadable_destroy(struct unreadable *unreadable)
+{
+	g_free(unreadable);
+}
+
 /* Runs once at the end; index is the kind and stage the shape. */
 static void
 remove_entry(struct action *action)
--- a/soak/unreadable.h
+++ b/soak/unreadable.h
@@ -13,6 +13,9 @@
 struct unreadable *unreadable_create(
     struct soak *soak, struct cluster *cluster);
 
+/** Releases the state; the event loop must not run any more. */
+void unreadable_destroy(struct unreadable *unreadable);
+
 /**
  * Writes an entry of a random kind that can't be read: one that is nested too
  * deeply, is cut, or has no name. It stays for a duration or, at random, until
