Declare each part of an entry VM in a header of its own

entry.h declared the interfaces of the gateway, the synchronization with the store, the reports and the reload, so that every file that needed one of them depended on all. They are now in gateway.h, store_sync.h, reports.h and reload.h, and each source includes what it uses. entry.h keeps the VM's state and its own functions. Behaviour is unchanged.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -5,6 +5,8 @@
 #include <math.h>
 
 #include "entry/entry.h"
+#include "entry/gateway.h"
+#include "entry/store_sync.h"
 
 /** Least divisor of connections while the list of VMs has not been read. */
 #define MIN_DIVISOR_UNLISTED 16.0
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "entry/gateway.h"
 #include "entry/searcher_answer.h"
 #include "entry/socket.h"
 #include "entry/upstream.h"
--- a/entry/listeners.c
+++ b/entry/listeners.c
@@ -5,7 +5,9 @@
 #include <errno.h>
 #include <string.h>
 
+#include "entry/gateway.h"
 #include "entry/listeners.h"
+#include "entry/reports.h"
 #include "entry/retry.h"
 
 enum listener_id {
--- a/entry/main.c
+++ b/entry/main.c
@@ -12,10 +12,14 @@
 #include "daemon/options.h"
 #include "daemon/system_clock.h"
 #include "entry/entry.h"
+#include "entry/gateway.h"
 #include "entry/listeners.h"
 #include "entry/pages.h"
+#include "entry/reload.h"
+#include "entry/reports.h"
 #include "entry/retry.h"
 #include "entry/socket.h"
+#include "entry/store_sync.h"
 #include "launch/server_main.h"
 
 /** Interval between checks whether a stop is complete, ms. */
--- a/entry/pages.c
+++ b/entry/pages.c
@@ -2,8 +2,10 @@
  * @file
  * The servers of an entry VM beside the one for callers' requests.
  */
+#include "entry/gateway.h"
 #include "entry/pages.h"
 #include "entry/searcher_states.h"
+#include "entry/store_sync.h"
 
 static void
 on_address_query(
--- a/entry/reload.c
+++ b/entry/reload.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <sys/stat.h>
 
-#include "entry/entry.h"
+#include "entry/reload.h"
 #include "entry/socket.h"
 
 /** Interval between checks of the file, ms. */
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -8,9 +8,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "entry/entry.h"
 #include "entry/report_encode.h"
+#include "entry/reports.h"
 #include "entry/socket.h"
+#include "entry/store_sync.h"
 #include "proto/vm_report.pb-c.h"
 
 /** Datagrams read in one iteration of the event loop. */
--- a/entry/shortage.c
+++ b/entry/shortage.c
@@ -5,6 +5,7 @@
  */
 #include <sys/resource.h>
 
+#include "entry/gateway.h"
 #include "entry/shares.h"
 #include "entry/shortage.h"
 #include "entry/socket.h"
--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -5,6 +5,7 @@
  */
 #include <string.h>
 
+#include "entry/reports.h"
 #include "entry/store_sync_private.h"
 
 /** Lists of VMs that may be seconds old, before one that may not. */
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -7,6 +7,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "entry/reports.h"
 #include "entry/socket.h"
 #include "entry/store_sync_private.h"
 
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -6,7 +6,7 @@
 #define WISTERIAVANE_ENTRY_STORE_SYNC_PRIVATE_H
 
 #include "entry/client.h"
-#include "entry/entry.h"
+#include "entry/store_sync.h"
 #include "wisteriavane/change_log.h"
 #include "wisteriavane/removal.h"
 
--- a/test/test_entry_removal.c
+++ b/test/test_entry_removal.c
@@ -9,6 +9,8 @@
 
 #include "daemon/system_clock.h"
 #include "entry/entry.h"
+#include "entry/gateway.h"
+#include "entry/store_sync.h"
 #include "test/entry_fixture.h"
 
 /** Step of the server's clock, and the real time in which it runs, ms. */
