Create the connections to searchers without the whole VM

upstream.c and shortage.c took the state of the whole entry VM and called back through it, so they and the gateway depended on each other in a circle. upstream_create() now gets a struct of what it uses and one operation, which it calls when the dispatcher has been told how an attempt ended; a shortage gets the event loop, the log and the metrics. Behaviour is unchanged.

--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "entry/entry.h"
 #include "entry/gateway.h"
 #include "entry/searcher_answer.h"
 #include "entry/socket.h"
@@ -298,7 +299,7 @@
 
 	if (attempt->extra)
 		log_extra_attempt(entry, call, attempt);
-	upstream_send(entry, attempt, &call->request);
+	upstream_send(entry->upstream, attempt, &call->request);
 }
 
 static void
@@ -578,6 +579,32 @@
 	event_add(gateway->timer, &time);
 }
 
+static void
+on_replied(void *data)
+{
+	gateway_schedule_tick(data);
+}
+
+static const struct upstream_ops upstream_ops = {on_replied};
+
+/* Creates the connections to searchers; the dispatcher exists. */
+static struct upstream *
+create_upstream(struct gateway *gateway)
+{
+	struct entry *entry = gateway->entry;
+	struct upstream_deps deps = {
+	    .base = entry->base,
+	    .clock = &entry->clock,
+	    .adapter = entry->adapter,
+	    .log = entry->log,
+	    .metrics = &entry->metrics,
+	    .memory = &entry->answer_memory,
+	    .dispatch = entry->dispatch,
+	};
+
+	return upstream_create(&deps, &upstream_ops, gateway);
+}
+
 struct gateway *
 gateway_create(struct entry *entry)
 {
@@ -596,7 +623,7 @@
 	    wv_string_borrow(entry->settings->zone), &gateway->registry_ops);
 	entry->dispatch = wv_dispatch_create(
 	    entry->registry, &gateway->ops, entry->incarnation);
-	entry->upstream = upstream_create(entry);
+	entry->upstream = create_upstream(gateway);
 	gateway->timer = event_new(entry->base, -1, 0, on_timer, gateway);
 	gateway->server =
 	    server_create_closed(entry->base, &server_ops, gateway);
--- a/entry/shortage.h
+++ b/entry/shortage.h
@@ -6,12 +6,19 @@
 #ifndef WISTERIAVANE_ENTRY_SHORTAGE_H
 #define WISTERIAVANE_ENTRY_SHORTAGE_H
 
-#include "entry/entry.h"
+#include <event2/event.h>
+
+#include "entry/log.h"
+#include "entry/metrics.h"
 
 struct shortage;
 
-/** Creates a record; the caller owns it. */
-struct shortage *shortage_create(struct entry *entry);
+/**
+ * Creates a record; the caller owns it. The base, the log and the metrics are
+ * borrowed.
+ */
+struct shortage *shortage_create(
+    struct event_base *base, struct log *log, struct metrics *metrics);
 
 void shortage_destroy(struct shortage *shortage);
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -34,7 +34,9 @@
 #define CONNECT_TIMEOUT 400.0
 
 struct upstream {
-	struct entry *entry;
+	struct upstream_deps deps;
+	const struct upstream_ops *ops;
+	void *data; /* passed to the operations */
 	GQueue idle; /* struct connection of all searchers, the longest idle
 			first */
 	size_t n_conns; /* connections with a client */
@@ -49,7 +51,7 @@
 
 /* A connection to a searcher: idle in its pool or used by an attempt. */
 struct connection {
-	struct entry *entry;
+	struct upstream *upstream;
 	GList in_pool; /* in the pool's queue; valid while idle */
 	GList in_idle; /* in the queue of all idle ones; valid while idle */
 	struct client *client; /* NULL: there was no connection left */
@@ -61,13 +63,17 @@
 };
 
 struct upstream *
-upstream_create(struct entry *entry)
+upstream_create(const struct upstream_deps *deps,
+    const struct upstream_ops *ops, void *data)
 {
 	struct upstream *upstream = g_new0(struct upstream, 1);
 
-	upstream->entry = entry;
+	upstream->deps = *deps;
+	upstream->ops = ops;
+	upstream->data = data;
 	upstream->max_conns = SIZE_MAX;
-	upstream->shortage = shortage_create(entry);
+	upstream->shortage =
+	    shortage_create(deps->base, deps->log, deps->metrics);
 	return upstream;
 }
 
@@ -84,6 +90,22 @@
 	upstream->max_conns = max_conns;
 }
 
+static wv_msec
+now_of(const struct upstream *upstream)
+{
+	return wv_clock_now(upstream->deps.clock);
+}
+
+/* Passes the end of an attempt to the dispatcher. */
+static void
+reply_to_dispatch(struct upstream *upstream, struct wv_attempt *attempt,
+    const struct wv_reply *reply)
+{
+	wv_dispatch_reply(
+	    upstream->deps.dispatch, now_of(upstream), attempt, reply);
+	upstream->ops->replied(upstream->data);
+}
+
 /* Closes a connection that is not idle. */
 static void
 connection_destroy(struct connection *conn)
@@ -91,7 +113,7 @@
 	event_free(conn->timer);
 	if (conn->client != NULL) {
 		client_destroy(conn->client);
-		conn->entry->upstream->n_conns--;
+		conn->upstream->n_conns--;
 	}
 	g_free(conn->id);
 	g_free(conn);
@@ -112,14 +134,14 @@
 	conn->in_pool.data = conn;
 	conn->in_idle.data = conn;
 	g_queue_push_head_link(&get_pool(conn->searcher)->idle, &conn->in_pool);
-	g_queue_push_tail_link(&conn->entry->upstream->idle, &conn->in_idle);
+	g_queue_push_tail_link(&conn->upstream->idle, &conn->in_idle);
 }
 
 static void
 remove_idle(struct connection *conn)
 {
 	g_queue_unlink(&get_pool(conn->searcher)->idle, &conn->in_pool);
-	g_queue_unlink(&conn->entry->upstream->idle, &conn->in_idle);
+	g_queue_unlink(&conn->upstream->idle, &conn->in_idle);
 }
 
 /* Returns the connection of a searcher that was used last, or NULL. */
@@ -160,12 +182,11 @@
 end_attempt(struct connection *conn, const struct wv_reply *reply)
 {
 	struct wv_attempt *attempt = conn->attempt;
-	struct entry *entry = conn->entry;
+	struct upstream *upstream = conn->upstream;
 
 	connection_destroy(conn);
 	attempt->link = NULL;
-	wv_dispatch_reply(entry->dispatch, entry_now(entry), attempt, reply);
-	entry_schedule_tick(entry);
+	reply_to_dispatch(upstream, attempt, reply);
 }
 
 static void
@@ -178,7 +199,7 @@
 		connection_destroy(conn);
 		return;
 	}
-	conn->idle_since = entry_now(conn->entry);
+	conn->idle_since = now_of(conn->upstream);
 	add_idle(conn);
 }
 
@@ -191,19 +212,20 @@
 {
 	struct wv_string id = {"", 0};
 
-	return message_find_field(
-		   answer, conn->entry->adapter->request_id, &id) <= 1 &&
+	return message_find_field(answer,
+		   conn->upstream->deps.adapter->request_id, &id) <= 1 &&
 	    wv_string_equal(id, wv_string_borrow(conn->id));
 }
 
 static void
-record_leaving(struct entry *entry, const struct wv_searcher *searcher)
+record_leaving(
+    const struct upstream_deps *deps, const struct wv_searcher *searcher)
 {
 	char id[LOG_NAME_SIZE];
 	char service[LOG_NAME_SIZE];
 
-	wv_counter_add(&entry->metrics.searchers_leaving, 1);
-	log_line(entry->log, LOG_CHANGE, "searcher_leaving",
+	wv_counter_add(&deps->metrics->searchers_leaving, 1);
+	log_line(deps->log, LOG_CHANGE, "searcher_leaving",
 	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\"",
 	    log_escape(searcher->id, id, sizeof(id)),
 	    log_escape(searcher->service->name, service, sizeof(service)),
@@ -211,14 +233,14 @@
 }
 
 static void
-record_rest(
-    struct entry *entry, const struct wv_searcher *searcher, wv_msec rest)
+record_rest(const struct upstream_deps *deps,
+    const struct wv_searcher *searcher, wv_msec rest)
 {
 	char id[LOG_NAME_SIZE];
 	char service[LOG_NAME_SIZE];
 
-	wv_counter_add(&entry->metrics.searchers_resting, 1);
-	log_line(entry->log, LOG_FAILURE, "searcher_rests",
+	wv_counter_add(&deps->metrics->searchers_resting, 1);
+	log_line(deps->log, LOG_FAILURE, "searcher_rests",
 	    "\"searcher\":\"%s\",\"service\":\"%s\",\"rest_ms\":%.0f",
 	    log_escape(searcher->id, id, sizeof(id)),
 	    log_escape(searcher->service->name, service, sizeof(service)),
@@ -229,26 +251,27 @@
 on_answer(void *data, struct client *client, struct message *answer)
 {
 	struct connection *conn = data;
-	struct entry *entry = conn->entry;
+	struct upstream *upstream = conn->upstream;
+	const struct upstream_deps *deps = &upstream->deps;
 	struct wv_reply reply = {0};
 	struct wv_attempt *attempt = conn->attempt;
 
 	(void)client;
 	if (!answers_request(conn, answer)) {
-		wv_counter_add(&entry->metrics.stale_answers, 1);
+		wv_counter_add(&deps->metrics->stale_answers, 1);
 		message_destroy(answer);
 		return false;
 	}
 	reply.end = searcher_answer_classify(
-	    entry->adapter, answer, attempt->searcher->id);
+	    deps->adapter, answer, attempt->searcher->id);
 	/* Another searcher speaks of itself. */
 	reply.leaving = reply.end != WV_END_WRONG_SEARCHER &&
-	    searcher_answer_says_leaving(entry->adapter, answer);
+	    searcher_answer_says_leaving(deps->adapter, answer);
 	if (reply.leaving && !attempt->searcher->leaving)
-		record_leaving(entry, attempt->searcher);
+		record_leaving(deps, attempt->searcher);
 	reply.rest = searcher_answer_rest(answer);
 	if (reply.rest > 0)
-		record_rest(entry, attempt->searcher, reply.rest);
+		record_rest(deps, attempt->searcher, reply.rest);
 	reply.success = answer->status >= 200 && answer->status < 300;
 	reply.message = answer;
 	if (reply.end == WV_END_BROKEN) {
@@ -256,7 +279,7 @@
 		reply.message = NULL;
 	}
 	metrics_add_latency(
-	    &entry->metrics.attempt_ms, entry_now(entry) - attempt->sent_at);
+	    &deps->metrics->attempt_ms, now_of(upstream) - attempt->sent_at);
 	/*
 	 * The dispatcher may send another attempt from wv_dispatch_reply(), so
 	 * the connection is returned to the pool before.
@@ -264,8 +287,7 @@
 	conn->attempt = NULL;
 	attempt->link = NULL;
 	return_to_pool(conn);
-	wv_dispatch_reply(entry->dispatch, entry_now(entry), attempt, &reply);
-	entry_schedule_tick(entry);
+	reply_to_dispatch(upstream, attempt, &reply);
 	return true;
 }
 
@@ -314,17 +336,17 @@
 static struct client *
 connect_client(struct connection *conn, int *error)
 {
-	struct entry *entry = conn->entry;
-	struct client *client = client_create(
-	    entry->base, conn->searcher->address.data, &ops, conn);
+	const struct upstream_deps *deps = &conn->upstream->deps;
+	struct client *client =
+	    client_create(deps->base, conn->searcher->address.data, &ops, conn);
 
 	*error = client_error(client);
 	if (is_shortage(*error)) {
 		client_destroy(client);
 		return NULL;
 	}
-	client_limit_memory(client, &entry->answer_memory);
-	wv_counter_add(&entry->metrics.connections_opened, 1);
+	client_limit_memory(client, deps->memory);
+	wv_counter_add(&deps->metrics->connections_opened, 1);
 	return client;
 }
 
@@ -343,7 +365,7 @@
 		return false;
 	remove_idle(conn);
 	connection_destroy(conn);
-	wv_counter_add(&upstream->entry->metrics.outgoing_yielded, 1);
+	wv_counter_add(&upstream->deps.metrics->outgoing_yielded, 1);
 	shortage_note(upstream->shortage, error);
 	return true;
 }
@@ -356,8 +378,7 @@
 static struct client *
 acquire_client(struct connection *conn)
 {
-	struct entry *entry = conn->entry;
-	struct upstream *upstream = entry->upstream;
+	struct upstream *upstream = conn->upstream;
 	struct client *client = NULL;
 	int error = 0;
 
@@ -366,27 +387,27 @@
 	while (client == NULL && yield_idle(upstream, error))
 		client = connect_client(conn, &error);
 	if (client == NULL) {
-		wv_counter_add(&entry->metrics.outgoing_refused, 1);
+		wv_counter_add(&upstream->deps.metrics->outgoing_refused, 1);
 		shortage_note(upstream->shortage, error);
 	}
 	return client;
 }
 
 static struct connection *
-open_connection(struct entry *entry, struct wv_searcher *searcher)
+open_connection(struct upstream *upstream, struct wv_searcher *searcher)
 {
 	struct timeval time = socket_timeval(CONNECT_TIMEOUT);
 	struct connection *conn = g_new0(struct connection, 1);
 
-	conn->entry = entry;
+	conn->upstream = upstream;
 	conn->searcher = searcher;
-	conn->timer = event_new(entry->base, -1, 0, on_timer, conn);
+	conn->timer = event_new(upstream->deps.base, -1, 0, on_timer, conn);
 	conn->client = acquire_client(conn);
 	if (conn->client == NULL) {
 		event_active(conn->timer, EV_TIMEOUT, 0);
 		return conn;
 	}
-	entry->upstream->n_conns++;
+	upstream->n_conns++;
 	event_add(conn->timer, &time);
 	return conn;
 }
@@ -407,26 +428,25 @@
  * NULL if nothing is left for it.
  */
 static struct connection *
-acquire_connection(struct entry *entry, struct wv_attempt *attempt)
+acquire_connection(struct upstream *upstream, struct wv_attempt *attempt)
 {
 	struct wv_searcher *searcher = attempt->searcher;
-	wv_msec now = entry_now(entry);
+	wv_msec now = now_of(upstream);
 	struct connection *conn = take_idle(searcher);
 
 	if (conn == NULL)
-		return open_connection(entry, searcher);
+		return open_connection(upstream, searcher);
 	if (now - conn->idle_since > max_idle_time(conn, attempt->idempotent)) {
 		connection_destroy(conn);
-		return open_connection(entry, searcher);
+		return open_connection(upstream, searcher);
 	}
 	return conn;
 }
 
 static GString *
-compose_request(const struct entry *entry, const struct wv_attempt *attempt,
-    const struct upstream_request *request)
+compose_request(const struct platform_adapter *adapter,
+    const struct wv_attempt *attempt, const struct upstream_request *request)
 {
-	const struct platform_adapter *adapter = entry->adapter;
 	GString *out = g_string_sized_new(request->head->len + 160);
 	wv_msec left = attempt->deadline - attempt->sent_at;
 
@@ -443,22 +463,23 @@
 }
 
 void
-upstream_send(struct entry *entry, struct wv_attempt *attempt,
+upstream_send(struct upstream *upstream, struct wv_attempt *attempt,
     const struct upstream_request *request)
 {
-	struct connection *conn = acquire_connection(entry, attempt);
+	struct connection *conn = acquire_connection(upstream, attempt);
+	struct metrics *metrics = upstream->deps.metrics;
 	GString *bytes;
 
 	g_free(conn->id);
 	conn->id = g_strndup(request->id.data, request->id.length);
 	conn->attempt = attempt;
 	attempt->link = conn;
-	wv_counter_add(&entry->metrics.attempts, 1);
+	wv_counter_add(&metrics->attempts, 1);
 	if (attempt->extra)
-		wv_counter_add(&entry->metrics.attempts_extra, 1);
+		wv_counter_add(&metrics->attempts_extra, 1);
 	if (conn->client == NULL)
 		return;
-	bytes = compose_request(entry, attempt, request);
+	bytes = compose_request(upstream->deps.adapter, attempt, request);
 	client_send(conn->client, (struct wv_string){bytes->str, bytes->len},
 	    request->is_head);
 	g_string_free(bytes, TRUE);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -5,7 +5,16 @@
 #ifndef WISTERIAVANE_ENTRY_UPSTREAM_H
 #define WISTERIAVANE_ENTRY_UPSTREAM_H
 
-#include "entry/entry.h"
+#include <event2/event.h>
+
+#include "entry/client.h"
+#include "entry/log.h"
+#include "entry/metrics.h"
+#include "entry/platform_adapter.h"
+#include "wisteriavane/clock.h"
+#include "wisteriavane/dispatch.h"
+
+struct upstream;
 
 /** A caller's request as it is sent to searchers. */
 struct upstream_request {
@@ -16,8 +25,35 @@
 	bool is_head; /**< HEAD: the answer has no body */
 };
 
-/** Creates the connections of a VM to its searchers: none yet. */
-struct upstream *upstream_create(struct entry *entry);
+/** Operations that the connections to searchers call. */
+struct upstream_ops {
+	/**
+	 * The dispatcher has handled the end of an attempt, so the time of its
+	 * next tick may have changed.
+	 */
+	void (*replied)(void *data);
+};
+
+/** What the connections to searchers use. All pointers are borrowed. */
+struct upstream_deps {
+	struct event_base *base;
+	struct wv_clock *clock;
+	const struct platform_adapter *adapter;
+	struct log *log;
+	struct metrics *metrics;
+	struct client_memory *memory; /**< of searchers' answers */
+	struct wv_dispatch *dispatch; /**< is told how attempts end */
+};
+
+/**
+ * Creates the connections of a VM to its searchers: none yet.
+ *
+ * @param deps  copied; what it points to must outlive the connections
+ * @param ops   borrowed
+ * @param data  passed to the operations
+ */
+struct upstream *upstream_create(const struct upstream_deps *deps,
+    const struct upstream_ops *ops, void *data);
 
 /** Releases them; all attempts and idle connections must have ended. */
 void upstream_destroy(struct upstream *upstream);
@@ -33,7 +69,7 @@
  * wv_dispatch_reply(), later from the event loop: WV_END_NOT_SENT if there is
  * no connection or descriptor left.
  */
-void upstream_send(struct entry *entry, struct wv_attempt *attempt,
+void upstream_send(struct upstream *upstream, struct wv_attempt *attempt,
     const struct upstream_request *request);
 
 /** Cancels an attempt by closing its connection. */
