Create the synchronization with the store without the whole VM

The store_*.c files took the state of the whole entry VM: they set its flags, called the dispatcher and sent reports, while the reports call them. store_sync_create() now gets a struct of what it uses, and the operations that it calls when routes or lists were read, the registry may have changed or the store begins to fail. That the VM stops is told by store_sync_end_cleanup().

parts.c connects the parts and shows the order of their creation and release, which main.c held before. The test of removed entries creates the synchronization through it; its checks are the same. Behaviour is unchanged.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -72,9 +72,3 @@
 
 	wv_dispatch_set_limits(entry->dispatch, &limits);
 }
-
-void
-entry_schedule_tick(struct entry *entry)
-{
-	gateway_schedule_tick(entry->gateway);
-}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -83,7 +83,4 @@
  */
 void entry_limit_connections(struct entry *entry);
 
-/** Sets the timer to the next due time of the dispatcher and the registry. */
-void entry_schedule_tick(struct entry *entry);
-
 #endif
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -173,7 +173,7 @@
 	 */
 	if (task != NULL)
 		call->task = task;
-	entry_schedule_tick(entry);
+	gateway_schedule_tick(entry->gateway);
 }
 
 /*
@@ -249,7 +249,7 @@
 	wv_counter_add(&entry->metrics.callers_left, 1);
 	wv_dispatch_cancel_task(entry->dispatch, call->task);
 	call_destroy(call);
-	entry_schedule_tick(entry);
+	gateway_schedule_tick(entry->gateway);
 }
 
 static void
--- a/entry/main.c
+++ b/entry/main.c
@@ -14,7 +14,7 @@
 #include "entry/entry.h"
 #include "entry/gateway.h"
 #include "entry/listeners.h"
-#include "entry/pages.h"
+#include "entry/parts.h"
 #include "entry/reload.h"
 #include "entry/reports.h"
 #include "entry/retry.h"
@@ -141,6 +141,7 @@
 	}
 	log_line(entry->log, LOG_CHANGE, "stopping", "\"in_progress\":%zu",
 	    server_count_busy(gateway_server(entry->gateway)));
+	store_sync_end_cleanup(entry->store);
 	reports_send(entry->reports);
 	server_drain(gateway_server(entry->gateway));
 	on_stop_timer(-1, 0, process);
@@ -204,14 +205,7 @@
 	const struct entry_settings *settings = entry->settings;
 
 	log_set_vm(entry->log, wv_string_borrow(settings->vm));
-	entry->peers = wv_peers_create(wv_string_borrow(settings->vm),
-	    wv_string_borrow(settings->zone), settings->capacity);
-	entry->gateway = gateway_create(entry);
-	pages_create(entry);
-	entry_limit_connections(entry);
-	entry->store = store_sync_create(entry);
-	entry_update_limits(entry);
-	entry->reports = reports_create(entry);
+	parts_create(entry);
 	process->listeners =
 	    listeners_create(entry, on_address_failed, process);
 	reload_start(process->reload);
@@ -299,12 +293,7 @@
 	struct entry *entry = &process->entry;
 
 	listeners_destroy(process->listeners);
-	store_sync_destroy(entry->store);
-	reports_destroy(entry->reports);
-	gateway_destroy(entry->gateway);
-	pages_destroy(entry);
-	wv_routes_unref(entry->routes);
-	wv_peers_destroy(entry->peers);
+	parts_destroy(entry);
 	entry_settings_destroy(entry->settings);
 }
 
--- /dev/null
+++ b/entry/parts.c
@@ -0,0 +1,108 @@
+/**
+ * @file
+ * Creates the parts of an entry VM and connects them.
+ */
+#include "entry/gateway.h"
+#include "entry/pages.h"
+#include "entry/parts.h"
+#include "entry/reports.h"
+#include "entry/store_sync.h"
+
+/* Sends a report, unless the reports are not created yet. */
+static void
+send_report(struct entry *entry)
+{
+	if (entry->reports != NULL)
+		reports_send(entry->reports);
+}
+
+static void
+on_routes_read(void *data, struct wv_routes *routes)
+{
+	entry_update_routes(data, routes);
+}
+
+static void
+on_searchers_listed(void *data)
+{
+	struct entry *entry = data;
+
+	entry->searchers_known = true;
+}
+
+static void
+on_vms_listed(void *data)
+{
+	struct entry *entry = data;
+
+	entry->vms_listed = true;
+	entry_update_limits(entry);
+	send_report(entry);
+}
+
+static void
+on_registry_changed(void *data)
+{
+	struct entry *entry = data;
+
+	wv_dispatch_registry_changed(entry->dispatch, entry_now(entry));
+	gateway_schedule_tick(entry->gateway);
+}
+
+static void
+on_store_failed(void *data)
+{
+	send_report(data);
+}
+
+static const struct store_sync_ops store_sync_ops = {
+    .routes_read = on_routes_read,
+    .searchers_listed = on_searchers_listed,
+    .vms_listed = on_vms_listed,
+    .registry_changed = on_registry_changed,
+    .store_failed = on_store_failed,
+};
+
+struct store_sync *
+parts_create_store_sync(struct entry *entry)
+{
+	struct store_sync_deps deps = {
+	    .base = entry->base,
+	    .clock = &entry->clock,
+	    .adapter = entry->adapter,
+	    .log = entry->log,
+	    .metrics = &entry->metrics,
+	    .settings = entry->settings,
+	    .registry = entry->registry,
+	    .peers = entry->peers,
+	    .started_at = entry->started_at,
+	};
+
+	return store_sync_create(&deps, &store_sync_ops, entry);
+}
+
+void
+parts_create(struct entry *entry)
+{
+	const struct entry_settings *settings = entry->settings;
+
+	entry->peers = wv_peers_create(wv_string_borrow(settings->vm),
+	    wv_string_borrow(settings->zone), settings->capacity);
+	entry->gateway = gateway_create(entry);
+	pages_create(entry);
+	entry_limit_connections(entry);
+	entry->store = parts_create_store_sync(entry);
+	entry_update_limits(entry);
+	entry->reports = reports_create(entry);
+}
+
+void
+parts_destroy(struct entry *entry)
+{
+	store_sync_destroy(entry->store);
+	reports_destroy(entry->reports);
+	gateway_destroy(entry->gateway);
+	pages_destroy(entry);
+	wv_routes_unref(entry->routes);
+	wv_peers_destroy(entry->peers);
+}
--- a/entry/store_answer.c
+++ b/entry/store_answer.c
@@ -5,7 +5,6 @@
  */
 #include <string.h>
 
-#include "entry/reports.h"
 #include "entry/store_sync_private.h"
 
 /** Lists of VMs that may be seconds old, before one that may not. */
@@ -30,17 +29,15 @@
 static void
 complete_vm_list(struct follower *follower)
 {
-	struct entry *entry = follower->sync->entry;
+	struct store_sync *sync = follower->sync;
 
 	if (!follower->found_self && store_reads_stale_list(follower)) {
 		follower->stale_lists++;
 		return;
 	}
 	follower->phase = follower->found_self ? PHASE_DONE : PHASE_REPLACE;
-	entry->vms_listed = true;
-	entry_update_limits(entry);
-	if (entry->reports != NULL)
-		reports_send(entry->reports);
+	sync->vms_listed = true;
+	sync->ops->vms_listed(sync->data);
 }
 
 /*
@@ -51,7 +48,8 @@
 static void
 complete_list(struct follower *follower, bool whole)
 {
-	struct entry *entry = follower->sync->entry;
+	struct store_sync *sync = follower->sync;
+	const struct store_sync_deps *deps = &sync->deps;
 
 	g_free(follower->list_after);
 	follower->list_after = NULL;
@@ -72,11 +70,11 @@
 	if (follower->kind != STORE_SEARCHERS)
 		return;
 	if (whole)
-		wv_registry_end_list(entry->registry, entry_now(entry));
-	entry->searchers_known = true;
-	log_line(entry->log, LOG_CHANGE, "searchers_listed",
+		wv_registry_end_list(deps->registry, store_now(sync));
+	sync->ops->searchers_listed(sync->data);
+	log_line(deps->log, LOG_CHANGE, "searchers_listed",
 	    "\"searchers\":%zu,\"revision\":%" G_GUINT64_FORMAT,
-	    wv_registry_size(entry->registry),
+	    wv_registry_size(deps->registry),
 	    wv_change_log_revision(follower->changes));
 }
 
@@ -111,7 +109,7 @@
 	const char *name =
 	    follower->list_after == NULL ? "" : follower->list_after;
 
-	log_line(follower->sync->entry->log, LOG_CHANGE, "list_cut",
+	log_line(follower->sync->deps.log, LOG_CHANGE, "list_cut",
 	    "\"kind\":\"%s\",\"from\":\"%s\",\"after\":\"%s\"",
 	    store_kind_name(follower->kind), follower->address,
 	    log_escape(wv_string_borrow(name), after, sizeof(after)));
@@ -140,7 +138,7 @@
 static void
 log_outdated_answer(const struct follower *follower, const char *what)
 {
-	log_line(follower->sync->entry->log, LOG_CHANGE, "answer_behind",
+	log_line(follower->sync->deps.log, LOG_CHANGE, "answer_behind",
 	    "\"kind\":\"%s\",\"what\":\"%s\",\"from\":\"%s\","
 	    "\"revision\":%" G_GUINT64_FORMAT ",\"known\":%" G_GUINT64_FORMAT,
 	    store_kind_name(follower->kind), what, follower->address,
@@ -153,7 +151,7 @@
 {
 	struct store_sync *sync = follower->sync;
 
-	if (!wv_change_log_add(follower->changes, entry_now(sync->entry),
+	if (!wv_change_log_add(follower->changes, store_now(sync),
 		page->revision, follower->received,
 		follower->after_outage || page->after_outage)) {
 		log_outdated_answer(follower, "changes");
@@ -178,12 +176,12 @@
 static void
 report_unnamed(const struct follower *follower, const struct store_page *page)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 
 	if (page->unnamed == 0)
 		return;
-	wv_counter_add(&entry->metrics.objects_unreadable, page->unnamed);
-	log_line(entry->log, LOG_CHANGE, "objects_unnamed",
+	wv_counter_add(&deps->metrics->objects_unreadable, page->unnamed);
+	log_line(deps->log, LOG_CHANGE, "objects_unnamed",
 	    "\"kind\":\"%s\",\"from\":\"%s\",\"objects\":%u,\"why\":\"no "
 	    "readable name\",\"revision\":%" G_GUINT64_FORMAT,
 	    store_kind_name(follower->kind), follower->address, page->unnamed,
@@ -215,33 +213,34 @@
 static void
 prepare_registry(struct follower *follower, const struct message *answer)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 
 	if (follower->kind != STORE_SEARCHERS)
 		return;
 	if (follower->from_peer &&
-	    strstr(answer->body->str, entry->adapter->outage_mark) != NULL)
+	    strstr(answer->body->str, deps->adapter->outage_mark) != NULL)
 		wv_registry_start_grace(
-		    entry->registry, entry_now(entry), OUTAGE_GRACE);
+		    deps->registry, store_now(follower->sync), OUTAGE_GRACE);
 	if (follower->phase == PHASE_LIST && follower->list_after == NULL)
-		wv_registry_begin_list(entry->registry);
+		wv_registry_begin_list(deps->registry);
 }
 
 /* Sends callers to the availability zones of most searchers. */
 static void
-update_caller_zones(struct entry *entry)
+update_caller_zones(const struct store_sync_deps *deps)
 {
 	GPtrArray *zones = g_ptr_array_new();
 
-	wv_registry_list_main_zones(entry->registry, zones);
-	wv_peers_set_caller_zones(entry->peers, zones);
+	wv_registry_list_main_zones(deps->registry, zones);
+	wv_peers_set_caller_zones(deps->peers, zones);
 	g_ptr_array_unref(zones);
 }
 
 bool
 store_apply_body(struct follower *follower, const struct message *answer)
 {
-	struct entry *entry = follower->sync->entry;
+	struct store_sync *sync = follower->sync;
+	const struct store_sync_deps *deps = &sync->deps;
 	struct wv_string body = {answer->body->str, answer->body->len};
 	struct wv_status status = {0};
 	struct store_page page = {0};
@@ -251,12 +250,12 @@
 	prepare_registry(follower, answer);
 	follower->received = wv_change_list_create();
 	follower->page = &page;
-	valid = entry->adapter->decode(
+	valid = deps->adapter->decode(
 	    body, &page, store_apply_object, follower, &status);
 	if (valid)
 		valid = apply_page(follower, &page);
 	else
-		log_line(entry->log, LOG_CHANGE, "store_answer_unreadable",
+		log_line(deps->log, LOG_CHANGE, "store_answer_unreadable",
 		    "\"kind\":\"%s\",\"why\":\"%s\"",
 		    store_kind_name(follower->kind),
 		    log_escape(
@@ -265,9 +264,8 @@
 	follower->received = NULL;
 	follower->page = NULL;
 	g_free(page.last_name);
-	wv_dispatch_registry_changed(entry->dispatch, entry_now(entry));
+	sync->ops->registry_changed(sync->data);
 	if (follower->kind == STORE_SEARCHERS)
-		update_caller_zones(entry);
-	entry_schedule_tick(entry);
+		update_caller_zones(deps);
 	return valid;
 }
--- a/entry/store_cleanup.c
+++ b/entry/store_cleanup.c
@@ -9,7 +9,7 @@
 static struct wv_removal *
 removal_of(const struct follower *follower)
 {
-	return wv_peers_removal(follower->sync->entry->peers);
+	return wv_peers_removal(follower->sync->deps.peers);
 }
 
 bool
@@ -27,7 +27,7 @@
 	follower->stale_lists = 0;
 	follower->phase = PHASE_CREATE;
 	store_set_timer(follower, 0);
-	log_line(follower->sync->entry->log, LOG_CHANGE, "vm_entry_checked",
+	log_line(follower->sync->deps.log, LOG_CHANGE, "vm_entry_checked",
 	    "\"why\":\"no other VM was heard for a long time\"");
 }
 
@@ -37,7 +37,7 @@
 	const struct wv_removal_call *call = &follower->cleanup;
 	char name[LOG_NAME_SIZE];
 
-	log_line(follower->sync->entry->log, LOG_CHANGE, what,
+	log_line(follower->sync->deps.log, LOG_CHANGE, what,
 	    "\"name\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
 	    log_escape(call->vm.name, name, sizeof(name)), call->revision);
 }
@@ -57,7 +57,7 @@
 	    sync->watching && !sync->lost && !store_sync_has_failed(sync);
 
 	follower->cleanup = wv_removal_next_call(
-	    removal_of(follower), entry_now(sync->entry), store_works);
+	    removal_of(follower), store_now(sync), store_works);
 	follower->phase = phases[follower->cleanup.kind];
 	if (follower->phase != PHASE_DONE)
 		store_set_timer(follower, 0);
@@ -68,9 +68,9 @@
 {
 	struct follower *follower = &sync->followers[STORE_VMS];
 
-	if (follower->phase != PHASE_DONE || sync->entry->stopping)
+	if (follower->phase != PHASE_DONE || sync->stopping)
 		return;
-	if (wv_peers_take_isolation(sync->entry->peers))
+	if (wv_peers_take_isolation(sync->deps.peers))
 		register_again(follower);
 	else
 		begin_call(follower);
@@ -80,7 +80,7 @@
 end_call(struct follower *follower, enum wv_removal_result result)
 {
 	wv_removal_end_call(
-	    removal_of(follower), entry_now(follower->sync->entry), result);
+	    removal_of(follower), store_now(follower->sync), result);
 	follower->phase = PHASE_DONE;
 	g_free(follower->list_after);
 	follower->list_after = NULL;
@@ -89,11 +89,11 @@
 void
 store_fail_cleanup(struct follower *follower, const char *why, unsigned status)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 	bool refused = status == 429 || status == 503;
 
-	wv_counter_add(&entry->metrics.store_failures, 1);
-	log_line(entry->log, LOG_CHANGE, "vm_entry_call_failed",
+	wv_counter_add(&deps->metrics->store_failures, 1);
+	log_line(deps->log, LOG_CHANGE, "vm_entry_call_failed",
 	    "\"status\":%u,\"why\":\"%s\"", status, why);
 	end_call(follower, refused ? WV_REMOVAL_REFUSED : WV_REMOVAL_UNKNOWN);
 }
@@ -110,7 +110,7 @@
 		return false;
 	if (status != 404)
 		wv_counter_add(
-		    &follower->sync->entry->metrics.vm_entries_removed, 1);
+		    &follower->sync->deps.metrics->vm_entries_removed, 1);
 	log_call(
 	    follower, status == 404 ? "vm_entry_absent" : "vm_entry_removed");
 	end_call(follower, status == 404 ? WV_REMOVAL_ABSENT : WV_REMOVAL_DONE);
--- a/entry/store_objects.c
+++ b/entry/store_objects.c
@@ -5,34 +5,35 @@
 #include "entry/store_sync_private.h"
 
 static void
-apply_routes(struct entry *entry, const struct store_object *object)
+apply_routes(struct store_sync *sync, const struct store_object *object)
 {
+	const struct store_sync_deps *deps = &sync->deps;
 	struct wv_status status = {0};
 	struct wv_routes *routes;
 	char name[LOG_NAME_SIZE];
 
 	if (object->deleted)
 		return;
-	routes = entry->adapter->decode_routes(object, &status);
+	routes = deps->adapter->decode_routes(object, &status);
 	if (routes == NULL) {
-		wv_counter_add(&entry->metrics.objects_unreadable, 1);
-		log_line(entry->log, LOG_CHANGE, "routes_unreadable",
+		wv_counter_add(&deps->metrics->objects_unreadable, 1);
+		log_line(deps->log, LOG_CHANGE, "routes_unreadable",
 		    "\"name\":\"%s\",\"why\":\"%s\"",
 		    log_escape(object->name, name, sizeof(name)),
 		    status.message);
 		return;
 	}
-	entry_update_routes(entry, routes);
+	sync->ops->routes_read(sync->data, routes);
 	wv_routes_unref(routes);
 }
 
 static void
-log_searcher(struct entry *entry, const struct wv_searcher_entry *searcher)
+log_searcher(struct log *log, const struct wv_searcher_entry *searcher)
 {
 	char id[LOG_NAME_SIZE];
 	char service[LOG_NAME_SIZE];
 
-	log_line(entry->log, LOG_CHANGE, "searcher_changed",
+	log_line(log, LOG_CHANGE, "searcher_changed",
 	    "\"searcher\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
 	    "\"draining\":%s,\"started_ms\":%" G_GUINT64_FORMAT,
 	    log_escape(searcher->id, id, sizeof(id)),
@@ -44,13 +45,14 @@
 /* Forgets the searcher of an entry that names none that can be used. */
 static void
 reject_searcher(
-    struct entry *entry, const struct store_object *object, const char *why)
+    struct store_sync *sync, const struct store_object *object, const char *why)
 {
+	const struct store_sync_deps *deps = &sync->deps;
 	char name[LOG_NAME_SIZE];
 
-	wv_counter_add(&entry->metrics.objects_unreadable, 1);
-	wv_registry_remove(entry->registry, entry_now(entry), object->name);
-	log_line(entry->log, LOG_CHANGE, "searcher_unreadable",
+	wv_counter_add(&deps->metrics->objects_unreadable, 1);
+	wv_registry_remove(deps->registry, store_now(sync), object->name);
+	log_line(deps->log, LOG_CHANGE, "searcher_unreadable",
 	    "\"searcher\":\"%s\",\"why\":\"%s\"",
 	    log_escape(object->name, name, sizeof(name)), why);
 }
@@ -70,58 +72,60 @@
 }
 
 static void
-apply_searcher(struct entry *entry, const struct store_object *object)
+apply_searcher(struct store_sync *sync, const struct store_object *object)
 {
+	const struct store_sync_deps *deps = &sync->deps;
 	struct wv_searcher_entry searcher;
 	struct wv_status status = {0};
-	wv_msec now = entry_now(entry);
+	wv_msec now = store_now(sync);
 	char name[LOG_NAME_SIZE];
 
 	if (object->deleted) {
-		if (wv_registry_remove(entry->registry, now, object->name))
-			log_line(entry->log, LOG_CHANGE, "searcher_missing",
+		if (wv_registry_remove(deps->registry, now, object->name))
+			log_line(deps->log, LOG_CHANGE, "searcher_missing",
 			    "\"searcher\":\"%s\"",
 			    log_escape(object->name, name, sizeof(name)));
 		return;
 	}
-	if (!entry->adapter->decode_searcher(object, &searcher, &status)) {
-		reject_searcher(entry, object, status.message);
+	if (!deps->adapter->decode_searcher(object, &searcher, &status)) {
+		reject_searcher(sync, object, status.message);
 		return;
 	}
 	if (!is_header_text(searcher.id)) {
-		reject_searcher(entry, object, "not an identifier");
+		reject_searcher(sync, object, "not an identifier");
 		return;
 	}
-	if (wv_registry_update(entry->registry, now, &searcher))
-		log_searcher(entry, &searcher);
+	if (wv_registry_update(deps->registry, now, &searcher))
+		log_searcher(deps->log, &searcher);
 }
 
 static void
-reject_vm(struct entry *entry, const struct store_object *object)
+reject_vm(struct store_sync *sync, const struct store_object *object)
 {
+	const struct store_sync_deps *deps = &sync->deps;
 	char name[LOG_NAME_SIZE];
 
-	wv_counter_add(&entry->metrics.objects_unreadable, 1);
-	log_line(entry->log, LOG_CHANGE, "vm_unreadable", "\"name\":\"%s\"",
+	wv_counter_add(&deps->metrics->objects_unreadable, 1);
+	log_line(deps->log, LOG_CHANGE, "vm_unreadable", "\"name\":\"%s\"",
 	    log_escape(object->name, name, sizeof(name)));
 }
 
 void
 store_apply_vm(struct follower *follower, const struct store_object *object)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 	struct vm_entry vm = {0};
 
 	if (object->deleted)
 		return;
-	if (!entry->adapter->decode_vm(object, &vm)) {
-		reject_vm(entry, object);
+	if (!deps->adapter->decode_vm(object, &vm)) {
+		reject_vm(follower->sync, object);
 		return;
 	}
-	if (wv_string_equal(vm.name, wv_string_borrow(entry->settings->vm)) &&
-	    wv_string_equal(vm.peers, wv_string_borrow(entry->settings->peers)))
+	if (wv_string_equal(vm.name, wv_string_borrow(deps->settings->vm)) &&
+	    wv_string_equal(vm.peers, wv_string_borrow(deps->settings->peers)))
 		follower->found_self = true;
-	wv_peers_set_address(entry->peers, entry_now(entry),
+	wv_peers_set_address(deps->peers, store_now(follower->sync),
 	    &(struct wv_peer_address){
 		.name = vm.name,
 		.address = vm.peers,
@@ -134,7 +138,7 @@
 store_apply_object(void *data, const struct store_object *object)
 {
 	struct follower *follower = data;
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 
 	if (store_is_outdated_list(follower))
 		return;
@@ -147,9 +151,9 @@
 		return;
 	}
 	wv_change_list_add(follower->received, object->name,
-	    entry->adapter->encode_change(object), object->deleted);
+	    deps->adapter->encode_change(object), object->deleted);
 	if (follower->kind == STORE_ROUTES)
-		apply_routes(entry, object);
+		apply_routes(follower->sync, object);
 	else
-		apply_searcher(entry, object);
+		apply_searcher(follower->sync, object);
 }
--- a/entry/store_request.c
+++ b/entry/store_request.c
@@ -15,8 +15,8 @@
 static char *
 request_path(const struct follower *follower)
 {
-	const struct entry *entry = follower->sync->entry;
-	const struct platform_adapter *adapter = entry->adapter;
+	const struct store_sync_deps *deps = &follower->sync->deps;
+	const struct platform_adapter *adapter = deps->adapter;
 
 	switch (follower->phase) {
 	case PHASE_LIST:
@@ -28,8 +28,7 @@
 		    follower->catches_up ? STORE_CATCH_UP_WAIT
 					 : STORE_WATCH_WAIT);
 	case PHASE_REPLACE:
-		return adapter->object_path(
-		    follower->kind, entry->settings->vm);
+		return adapter->object_path(follower->kind, deps->settings->vm);
 	case PHASE_REVISIONS:
 		return adapter->list_path(
 		    follower->kind, follower->list_after, true);
@@ -68,7 +67,7 @@
 static struct vm_entry
 written_entry(const struct follower *follower)
 {
-	const struct entry_settings *settings = follower->sync->entry->settings;
+	const struct entry_settings *settings = follower->sync->deps.settings;
 	const struct wv_peer_address *vm = &follower->cleanup.vm;
 
 	if (follower->phase == PHASE_RESTORE)
@@ -89,20 +88,20 @@
 GString *
 store_compose_request(const struct follower *follower)
 {
-	const struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 	struct vm_entry vm = written_entry(follower);
 	GString *request = g_string_new(NULL);
 	char *path = request_path(follower);
 	struct wv_string body;
 
 	g_string_append_printf(request, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-	    request_method(follower), path, entry->settings->store);
+	    request_method(follower), path, deps->settings->store);
 	g_free(path);
 	if (!store_is_write(follower)) {
 		g_string_append(request, "\r\n");
 		return request;
 	}
-	body = entry->adapter->encode_vm(&vm);
+	body = deps->adapter->encode_vm(&vm);
 	g_string_append_printf(request,
 	    "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
 	    body.length);
--- a/entry/store_serve.c
+++ b/entry/store_serve.c
@@ -9,7 +9,7 @@
 store_sync_serve(struct store_sync *sync, struct server_conn *conn,
     const struct message *message)
 {
-	const struct platform_adapter *adapter = sync->entry->adapter;
+	const struct platform_adapter *adapter = sync->deps.adapter;
 	GPtrArray *encoded = g_ptr_array_new();
 	struct wv_change_log *changes;
 	bool after_outage = false;
--- a/entry/store_source.c
+++ b/entry/store_source.c
@@ -15,22 +15,22 @@
 static bool
 awaits_hub(const struct follower *follower)
 {
-	const struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 
 	return store_is_followed(follower) && follower->phase == PHASE_LIST &&
-	    !follower->listed && !wv_peers_is_hub(entry->peers) &&
-	    entry_now(entry) - entry->started_at < MAX_HUB_WAIT;
+	    !follower->listed && !wv_peers_is_hub(deps->peers) &&
+	    store_now(follower->sync) - deps->started_at < MAX_HUB_WAIT;
 }
 
 /* Whether this VM does not know yet whether it is a hub. */
 static bool
 awaits_vms(const struct follower *follower)
 {
-	const struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 
-	return store_is_followed(follower) && !entry->vms_listed &&
+	return store_is_followed(follower) && !follower->sync->vms_listed &&
 	    !follower->sync->lost &&
-	    entry_now(entry) - entry->started_at < MAX_VMS_WAIT;
+	    store_now(follower->sync) - deps->started_at < MAX_VMS_WAIT;
 }
 
 bool
@@ -42,7 +42,7 @@
 const char *
 store_find_peer(const struct follower *follower)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 	bool list = follower->phase == PHASE_LIST;
 
 	if (!store_is_followed(follower) || store_is_write(follower) ||
@@ -51,7 +51,7 @@
 	    (!list && store_may_watch(follower) &&
 		!store_sync_has_failed(follower->sync)))
 		return "";
-	return wv_peers_find_ahead(entry->peers, entry_now(entry),
+	return wv_peers_find_ahead(deps->peers, store_now(follower->sync),
 	    store_peer_data(follower),
 	    wv_change_log_revision(follower->changes))
 	    .data;
@@ -85,12 +85,12 @@
 awaits_near_source(
     const struct store_sync *sync, const struct wv_peer_report *report)
 {
-	const struct entry *entry = sync->entry;
+	const struct store_sync_deps *deps = &sync->deps;
 
 	return !store_sync_has_failed(sync) &&
 	    !wv_string_equal(
-		report->zone, wv_string_borrow(entry->settings->zone)) &&
-	    wv_peers_has_near_source(entry->peers, entry_now(entry));
+		report->zone, wv_string_borrow(deps->settings->zone)) &&
+	    wv_peers_has_near_source(deps->peers, store_now(sync));
 }
 
 static void
--- a/entry/store_sync.c
+++ b/entry/store_sync.c
@@ -7,7 +7,6 @@
 #include <math.h>
 #include <string.h>
 
-#include "entry/reports.h"
 #include "entry/socket.h"
 #include "entry/store_sync_private.h"
 
@@ -45,6 +44,12 @@
 /** Shortest outage in which registrations may expire, ms. */
 #define MIN_OUTAGE 400.0
 
+wv_msec
+store_now(const struct store_sync *sync)
+{
+	return wv_clock_now(sync->deps.clock);
+}
+
 const char *
 store_kind_name(enum store_kind kind)
 {
@@ -91,9 +96,9 @@
 {
 	bool already_failed = store_sync_has_failed(sync);
 
-	sync->failed_at = entry_now(sync->entry);
-	if (!already_failed && sync->entry->reports != NULL)
-		reports_send(sync->entry->reports);
+	sync->failed_at = store_now(sync);
+	if (!already_failed)
+		sync->ops->store_failed(sync->data);
 }
 
 /* Records a failed call of the store. */
@@ -101,16 +106,16 @@
 record_failure(struct follower *follower, const char *why, bool timed_out)
 {
 	struct store_sync *sync = follower->sync;
-	struct entry *entry = sync->entry;
+	const struct store_sync_deps *deps = &sync->deps;
 
-	wv_counter_add(&entry->metrics.store_failures, 1);
+	wv_counter_add(&deps->metrics->store_failures, 1);
 	if (++follower->failures >= MIN_FAILURES || timed_out)
 		mark_store_failed(sync);
 	if (sync->lost)
 		return;
 	sync->lost = true;
-	sync->lost_at = entry_now(entry);
-	log_line(entry->log, LOG_CHANGE, "store_lost",
+	sync->lost_at = store_now(sync);
+	log_line(deps->log, LOG_CHANGE, "store_lost",
 	    "\"kind\":\"%s\",\"why\":\"%s\"", store_kind_name(follower->kind),
 	    why);
 }
@@ -118,10 +123,9 @@
 static void
 begin_outage_grace(struct store_sync *sync)
 {
-	struct entry *entry = sync->entry;
+	const struct store_sync_deps *deps = &sync->deps;
 
-	wv_registry_start_grace(
-	    entry->registry, entry_now(entry), OUTAGE_GRACE);
+	wv_registry_start_grace(deps->registry, store_now(sync), OUTAGE_GRACE);
 	for (int i = 0; i < STORE_KIND_COUNT; i++)
 		sync->followers[i].after_outage = true;
 }
@@ -131,8 +135,8 @@
 record_answer(struct follower *follower)
 {
 	struct store_sync *sync = follower->sync;
-	struct entry *entry = sync->entry;
-	wv_msec outage = entry_now(entry) - sync->lost_at;
+	const struct store_sync_deps *deps = &sync->deps;
+	wv_msec outage = store_now(sync) - sync->lost_at;
 
 	follower->failures = 0;
 	if (!sync->lost)
@@ -140,7 +144,7 @@
 	sync->lost = false;
 	if (outage >= MIN_OUTAGE)
 		begin_outage_grace(sync);
-	log_line(entry->log, LOG_CHANGE, "store_regained",
+	log_line(deps->log, LOG_CHANGE, "store_regained",
 	    "\"kind\":\"%s\",\"away_ms\":%.0f", store_kind_name(follower->kind),
 	    outage);
 }
@@ -152,14 +156,15 @@
 static void
 record_peer_failure(struct follower *follower, const char *why, unsigned status)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 	bool list = follower->phase == PHASE_LIST;
 
 	/* A VM that has no list yet (410) may be the next to have it. */
 	if (status != 410)
-		wv_peers_record_failed_call(entry->peers, entry_now(entry),
+		wv_peers_record_failed_call(deps->peers,
+		    store_now(follower->sync),
 		    wv_string_borrow(follower->address));
-	log_line(entry->log, LOG_CHANGE, "peer_call_failed",
+	log_line(deps->log, LOG_CHANGE, "peer_call_failed",
 	    "\"kind\":\"%s\",\"call\":\"%s\",\"from\":\"%s\","
 	    "\"status\":%u,\"why\":\"%s\"",
 	    store_kind_name(follower->kind), list ? "list" : "changes",
@@ -291,13 +296,13 @@
 		store_close_client(follower);
 }
 
-static const struct client_ops ops = {on_answer, on_end};
+static const struct client_ops call_ops = {on_answer, on_end};
 
 /* Sends the next call to an address IP:PORT. */
 static void
 send_call(struct follower *follower, const char *address)
 {
-	struct entry *entry = follower->sync->entry;
+	const struct store_sync_deps *deps = &follower->sync->deps;
 	bool waits = !follower->from_peer && follower->phase == PHASE_FOLLOW;
 	GString *request = store_compose_request(follower);
 	struct wv_string bytes = {request->str, request->len};
@@ -310,12 +315,12 @@
 	}
 	if (follower->client == NULL) {
 		follower->client =
-		    client_create(entry->base, address, &ops, follower);
+		    client_create(deps->base, address, &call_ops, follower);
 		client_limit_memory(follower->client, &follower->sync->memory);
 	}
 	follower->calling = true;
 	if (!follower->from_peer)
-		wv_counter_add(&entry->metrics.store_calls, 1);
+		wv_counter_add(&deps->metrics->store_calls, 1);
 	client_send(follower->client, bytes, false);
 	store_set_timer(
 	    follower, CALL_TIMEOUT + (waits ? STORE_WATCH_WAIT : 0));
@@ -340,7 +345,7 @@
 	if (follower->from_peer)
 		send_call(follower, peer);
 	else if (follower->phase != PHASE_FOLLOW || store_may_watch(follower))
-		send_call(follower, sync->entry->settings->store);
+		send_call(follower, sync->deps.settings->store);
 }
 
 static void
@@ -368,7 +373,7 @@
 bool
 store_sync_has_failed(const struct store_sync *sync)
 {
-	return entry_now(sync->entry) - sync->failed_at < FAILED_PERIOD;
+	return store_now(sync) - sync->failed_at < FAILED_PERIOD;
 }
 
 /*
@@ -394,22 +399,22 @@
 void
 store_sync_update_role(struct store_sync *sync)
 {
-	struct entry *entry = sync->entry;
-	wv_msec now = entry_now(entry);
+	const struct store_sync_deps *deps = &sync->deps;
+	wv_msec now = store_now(sync);
 	struct wv_peer_role role =
-	    wv_peers_get_role(entry->peers, now, store_sync_has_failed(sync));
+	    wv_peers_get_role(deps->peers, now, store_sync_has_failed(sync));
 
-	if (now - entry->started_at < WATCH_START_DELAY)
+	if (now - deps->started_at < WATCH_START_DELAY)
 		return;
 	store_cleanup(sync);
 	if (!sync->caught_up && !role.is_watcher &&
-	    now - entry->started_at >= CATCH_UP_DELAY)
+	    now - deps->started_at >= CATCH_UP_DELAY)
 		catch_up(sync);
 	if (role.is_watcher == sync->watching)
 		return;
 	sync->watching = role.is_watcher;
 	sync->caught_up |= role.is_watcher;
-	log_line(entry->log, LOG_CHANGE, "store_watching",
+	log_line(deps->log, LOG_CHANGE, "store_watching",
 	    "\"watching\":%s,\"vms\":%u", sync->watching ? "true" : "false",
 	    role.vms);
 	for (int i = 0; i < STORE_KIND_COUNT && sync->watching; i++) {
@@ -421,11 +426,14 @@
 }
 
 struct store_sync *
-store_sync_create(struct entry *entry)
+store_sync_create(const struct store_sync_deps *deps,
+    const struct store_sync_ops *ops, void *data)
 {
 	struct store_sync *sync = g_new0(struct store_sync, 1);
 
-	sync->entry = entry;
+	sync->deps = *deps;
+	sync->ops = ops;
+	sync->data = data;
 	sync->failed_at = -WV_MSEC_NEVER;
 	sync->memory.max_answer = MAX_ANSWER_BYTES;
 	sync->memory.max_total = MAX_ANSWERS_BYTES;
@@ -438,12 +446,18 @@
 		follower->backoff = MIN_BACKOFF;
 		follower->changes = wv_change_log_create();
 		follower->timer =
-		    event_new(entry->base, -1, 0, on_timer, follower);
+		    event_new(deps->base, -1, 0, on_timer, follower);
 		store_set_timer(follower, 0);
 	}
 	return sync;
 }
 
+void
+store_sync_end_cleanup(struct store_sync *sync)
+{
+	sync->stopping = true;
+}
+
 void
 store_sync_destroy(struct store_sync *sync)
 {
--- a/entry/store_sync.h
+++ b/entry/store_sync.h
@@ -5,14 +5,61 @@
 #ifndef WISTERIAVANE_ENTRY_STORE_SYNC_H
 #define WISTERIAVANE_ENTRY_STORE_SYNC_H
 
-#include "entry/entry.h"
+#include <event2/event.h>
+
+#include "entry/log.h"
+#include "entry/metrics.h"
+#include "entry/platform_adapter.h"
+#include "entry/server.h"
+#include "entry/settings.h"
+#include "wisteriavane/clock.h"
+#include "wisteriavane/peers.h"
 
 struct store_sync;
 
-/** Begins to read the lists and to register this VM in the store. */
-struct store_sync *store_sync_create(struct entry *entry);
+/** Operations that the synchronization calls from the event loop. */
+struct store_sync_ops {
+	/** Routes were read, of any version; the reference is borrowed. */
+	void (*routes_read)(void *data, struct wv_routes *routes);
+	/** A list of searchers was read into the registry. */
+	void (*searchers_listed)(void *data);
+	/** The list of VMs was read into the table of VMs. */
+	void (*vms_listed)(void *data);
+	/** An answer was applied, which may have changed the registry. */
+	void (*registry_changed)(void *data);
+	/** The store begins to count as failed for this VM. */
+	void (*store_failed)(void *data);
+};
+
+/** What the synchronization uses. All pointers are borrowed. */
+struct store_sync_deps {
+	struct event_base *base;
+	struct wv_clock *clock;
+	const struct platform_adapter *adapter;
+	struct log *log;
+	struct metrics *metrics;
+	const struct entry_settings *settings; /**< may change at run time */
+	struct wv_registry *registry; /**< gets the searchers */
+	struct wv_peers *peers; /**< gets the VMs */
+	wv_msec started_at; /**< of the process: monotonic, ms */
+};
+
+/**
+ * Begins to read the lists and to register this VM in the store. The first
+ * calls are made from the event loop.
+ *
+ * @param deps  copied; what it points to must outlive the synchronization
+ * @param ops   borrowed
+ * @param data  passed to the operations
+ */
+struct store_sync *store_sync_create(const struct store_sync_deps *deps,
+    const struct store_sync_ops *ops, void *data);
+
 void store_sync_destroy(struct store_sync *sync);
 
+/** Begins no further call for registrations of VMs, because this VM stops. */
+void store_sync_end_cleanup(struct store_sync *sync);
+
 /**
  * Returns the store revision of the newest changes of a kind of data; 0 if
  * there were none since the first list.
--- a/entry/store_sync_private.h
+++ b/entry/store_sync_private.h
@@ -72,7 +72,11 @@
 
 /** Synchronization of all kinds of objects. */
 struct store_sync {
-	struct entry *entry;
+	struct store_sync_deps deps;
+	const struct store_sync_ops *ops;
+	void *data; /**< passed to the operations */
+	bool vms_listed; /**< the list of VMs was read */
+	bool stopping; /**< no further calls of the cleanup begin */
 	bool lost; /**< calls of the store have failed since the last
 			   answer */
 	bool watching; /**< this VM watches the store directly */
@@ -108,6 +112,9 @@
 /** Applies an object of an answer; data is the follower (store_visit). */
 void store_apply_object(void *data, const struct store_object *object);
 
+/** Returns the monotonic time, ms. */
+wv_msec store_now(const struct store_sync *sync);
+
 /** Returns the name of a kind of objects, for logs. */
 const char *store_kind_name(enum store_kind kind);
 
--- a/test/test_entry_removal.c
+++ b/test/test_entry_removal.c
@@ -10,6 +10,7 @@
 #include "daemon/system_clock.h"
 #include "entry/entry.h"
 #include "entry/gateway.h"
+#include "entry/parts.h"
 #include "entry/store_sync.h"
 #include "test/entry_fixture.h"
 
@@ -86,7 +87,7 @@
 	entry->peers = wv_peers_create(wv_string_borrow("vm0"),
 	    wv_string_borrow("z1"), entry->settings->capacity);
 	entry->gateway = gateway_create(entry);
-	entry->store = store_sync_create(entry);
+	entry->store = parts_create_store_sync(entry);
 	return vm;
 }
 
