Create the reports without the whole VM

reports.c took the state of the whole entry VM and called its functions, which call the reports in turn. reports_create() now gets a struct of what it uses, the synchronization with the store among it, and two operations: one tells whether this VM can serve, the other is called after each round. reports_announce_leaving() tells the other VMs that this one stops. Behaviour is unchanged.

--- a/entry/main.c
+++ b/entry/main.c
@@ -142,7 +142,7 @@
 	log_line(entry->log, LOG_CHANGE, "stopping", "\"in_progress\":%zu",
 	    server_count_busy(gateway_server(entry->gateway)));
 	store_sync_end_cleanup(entry->store);
-	reports_send(entry->reports);
+	reports_announce_leaving(entry->reports);
 	server_drain(gateway_server(entry->gateway));
 	on_stop_timer(-1, 0, process);
 }
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -81,6 +81,41 @@
 	return store_sync_create(&deps, &store_sync_ops, entry);
 }
 
+static bool
+is_serving(void *data)
+{
+	return entry_is_ready(data);
+}
+
+static void
+on_round_ended(void *data)
+{
+	entry_update_limits(data);
+}
+
+static const struct reports_ops reports_ops = {
+    .is_serving = is_serving,
+    .round_ended = on_round_ended,
+};
+
+static struct reports *
+create_reports(struct entry *entry)
+{
+	struct reports_deps deps = {
+	    .base = entry->base,
+	    .clock = &entry->clock,
+	    .log = entry->log,
+	    .metrics = &entry->metrics,
+	    .settings = entry->settings,
+	    .registry = entry->registry,
+	    .peers = entry->peers,
+	    .store = entry->store,
+	    .incarnation = entry->incarnation,
+	};
+
+	return reports_create(&deps, &reports_ops, entry);
+}
+
 void
 parts_create(struct entry *entry)
 {
@@ -93,7 +128,7 @@
 	entry_limit_connections(entry);
 	entry->store = parts_create_store_sync(entry);
 	entry_update_limits(entry);
-	entry->reports = reports_create(entry);
+	entry->reports = create_reports(entry);
 }
 
 void
--- a/entry/reports.c
+++ b/entry/reports.c
@@ -18,7 +18,10 @@
 #define MAX_READS 64
 
 struct reports {
-	struct entry *entry;
+	struct reports_deps deps;
+	const struct reports_ops *ops;
+	void *data; /* passed to the operations */
+	bool leaving; /* this VM leaves */
 	int fd; /* -1: not open yet */
 	struct event *read; /* NULL: not open yet */
 	struct event *timer;
@@ -28,30 +31,36 @@
 	bool failing; /* whether sending fails, as last logged */
 };
 
+static wv_msec
+now_of(const struct reports *reports)
+{
+	return wv_clock_now(reports->deps.clock);
+}
+
 /* Fills in this VM's own report; strings are borrowed. */
 static void
 compose_own_report(struct reports *reports, struct wv_peer_report *report)
 {
-	struct entry *entry = reports->entry;
-	const struct entry_settings *settings = entry->settings;
+	const struct reports_deps *deps = &reports->deps;
+	const struct entry_settings *settings = deps->settings;
 
 	*report = (struct wv_peer_report){
 	    .name = wv_string_borrow(settings->vm),
-	    .incarnation = entry->incarnation,
+	    .incarnation = deps->incarnation,
 	    .sequence = ++reports->sequence,
 	    .peer_address = wv_string_borrow(settings->peers),
 	    .caller_address = wv_string_borrow(settings->callers),
 	    .zone = wv_string_borrow(settings->zone),
-	    .serving = entry_is_ready(entry),
-	    .leaving = entry->stopping,
+	    .serving = reports->ops->is_serving(reports->data),
+	    .leaving = reports->leaving,
 	    .capacity = settings->capacity,
-	    .store_failed = store_sync_has_failed(entry->store),
-	    .is_leaf = !wv_peers_is_hub(entry->peers),
+	    .store_failed = store_sync_has_failed(deps->store),
+	    .is_leaf = !wv_peers_is_hub(deps->peers),
 	};
 	for (int i = 0; i < WV_PEER_DATA_COUNT; i++)
 		report->revisions[i] =
-		    store_sync_revision(entry->store, (enum wv_peer_data)i);
-	report->view = wv_peers_view(entry->peers, entry_now(entry), report);
+		    store_sync_revision(deps->store, (enum wv_peer_data)i);
+	report->view = wv_peers_view(deps->peers, now_of(reports), report);
 }
 
 static void
@@ -75,10 +84,10 @@
 
 /* Collects the newest hints about leaving searchers; strings are borrowed. */
 static void
-collect_hints(const struct entry *entry, struct report_hints *hints)
+collect_hints(const struct reports *reports, struct report_hints *hints)
 {
-	hints->n = wv_registry_list_hints(
-	    entry->registry, entry_now(entry), hints->items, REPORT_MAX_HINTS);
+	hints->n = wv_registry_list_hints(reports->deps.registry,
+	    now_of(reports), hints->items, REPORT_MAX_HINTS);
 }
 
 /* Sends a report to an address IP:PORT; returns 0 or an errno value. */
@@ -113,13 +122,13 @@
 		return;
 	reports->failing = failing;
 	if (failing)
-		log_line(reports->entry->log, LOG_CHANGE, "reports_unsent",
+		log_line(reports->deps.log, LOG_CHANGE, "reports_unsent",
 		    "\"target\":\"%s\",\"error\":\"%s\"", target,
 		    g_strerror(error));
 	else
-		log_line(reports->entry->log, LOG_CHANGE, "reports_sent_again",
+		log_line(reports->deps.log, LOG_CHANGE, "reports_sent_again",
 		    "\"unsent\":%" G_GUINT64_FORMAT,
-		    wv_counter_read(&reports->entry->metrics.reports_unsent));
+		    wv_counter_read(&reports->deps.metrics->reports_unsent));
 }
 
 /* Sends a report to one VM and counts it; returns 0 or an errno value. */
@@ -128,7 +137,7 @@
     const struct wv_peer_target *target, const GPtrArray *hubs,
     const struct report_hints *hints)
 {
-	struct metrics *metrics = &reports->entry->metrics;
+	struct metrics *metrics = reports->deps.metrics;
 	uint8_t buffer[REPORT_MAX_BYTES];
 	size_t length = report_encode(own, target, hubs, hints, buffer);
 	int error = send_to(reports, target->address, buffer, length);
@@ -142,15 +151,14 @@
 send_round(struct reports *reports, const struct wv_peer_report *own,
     const GArray *targets)
 {
-	struct entry *entry = reports->entry;
+	const struct reports_deps *deps = &reports->deps;
 	GPtrArray *hubs = g_ptr_array_new_with_free_func(g_free);
 	struct report_hints hints;
 	const char *failed = "";
 	int error = 0;
 
-	collect_hints(entry, &hints);
-	wv_peers_foreach_heard_hub(
-	    entry->peers, entry_now(entry), add_hub, hubs);
+	collect_hints(reports, &hints);
+	wv_peers_foreach_heard_hub(deps->peers, now_of(reports), add_hub, hubs);
 	for (guint i = 0; i < targets->len; i++) {
 		const struct wv_peer_target *target =
 		    &g_array_index(targets, struct wv_peer_target, i);
@@ -169,32 +177,39 @@
 void
 reports_send(struct reports *reports)
 {
-	struct entry *entry = reports->entry;
-	wv_msec now = entry_now(entry);
+	const struct reports_deps *deps = &reports->deps;
+	wv_msec now = now_of(reports);
 	struct wv_peer_report own;
 	GArray *targets;
 
-	wv_peers_update(entry->peers, now);
+	wv_peers_update(deps->peers, now);
 	if (reports->fd < 0)
 		return;
 	targets = g_array_new(FALSE, FALSE, sizeof(struct wv_peer_target));
 	compose_own_report(reports, &own);
-	wv_peers_plan_reports(entry->peers, now, &own, targets);
+	wv_peers_plan_reports(deps->peers, now, &own, targets);
 	send_round(reports, &own, targets);
 	g_array_unref(targets);
 }
 
+void
+reports_announce_leaving(struct reports *reports)
+{
+	reports->leaving = true;
+	reports_send(reports);
+}
+
 /* Answers the report of a hub that this VM does not report to otherwise. */
 static void
 answer_introduction(struct reports *reports, const struct wv_peer_report *hub)
 {
 	struct wv_peer_target target =
-	    wv_peers_answer_introduction(reports->entry->peers, hub);
+	    wv_peers_answer_introduction(reports->deps.peers, hub);
 	struct wv_peer_report own;
 	struct report_hints hints;
 
 	compose_own_report(reports, &own);
-	collect_hints(reports->entry, &hints);
+	collect_hints(reports, &hints);
 	send_report(reports, &own, &target, NULL, &hints);
 }
 
@@ -218,7 +233,7 @@
 		hubs[i].capacity = state->capacity;
 		hubs[i].store_failed = state->store_failed;
 	}
-	wv_peers_apply_hubs(reports->entry->peers, entry_now(reports->entry),
+	wv_peers_apply_hubs(reports->deps.peers, now_of(reports),
 	    wv_string_borrow(packed->name), packed->view, hubs, packed->n_hubs);
 	g_free(hubs);
 }
@@ -227,7 +242,7 @@
 static void
 apply_hints(struct reports *reports, const VmReport *packed)
 {
-	struct entry *entry = reports->entry;
+	const struct reports_deps *deps = &reports->deps;
 	size_t n = MIN(packed->n_leaving_searchers, REPORT_MAX_HINTS);
 	char id[LOG_NAME_SIZE];
 	char from[LOG_NAME_SIZE];
@@ -240,10 +255,10 @@
 		    .age = item->age};
 
 		if (!wv_registry_add_hint(
-			entry->registry, entry_now(entry), &hint))
+			deps->registry, now_of(reports), &hint))
 			continue;
-		wv_counter_add(&entry->metrics.searchers_hinted, 1);
-		log_line(entry->log, LOG_CHANGE, "searcher_hinted",
+		wv_counter_add(&deps->metrics->searchers_hinted, 1);
+		log_line(deps->log, LOG_CHANGE, "searcher_hinted",
 		    "\"searcher\":\"%s\",\"from\":\"%s\",\"age_ms\":%u",
 		    log_escape(hint.searcher, id, sizeof(id)),
 		    log_escape(
@@ -255,7 +270,7 @@
 static void
 apply_report(struct reports *reports, const VmReport *packed)
 {
-	struct entry *entry = reports->entry;
+	const struct reports_deps *deps = &reports->deps;
 	struct wv_peer_report report = {
 	    .name = wv_string_borrow(packed->name),
 	    .incarnation = packed->incarnation,
@@ -274,15 +289,15 @@
 	    .known_view = packed->known_view,
 	};
 
-	wv_counter_add(&entry->metrics.reports_received, 1);
-	if (!wv_peers_apply_report(entry->peers, entry_now(entry), &report))
+	wv_counter_add(&deps->metrics->reports_received, 1);
+	if (!wv_peers_apply_report(deps->peers, now_of(reports), &report))
 		return;
 	if (packed->n_hubs > 0)
 		apply_hubs(reports, packed);
 	apply_hints(reports, packed);
 	if (packed->introduces)
 		answer_introduction(reports, &report);
-	store_sync_compare_revisions(entry->store, &report);
+	store_sync_compare_revisions(deps->store, &report);
 }
 
 static bool
@@ -329,7 +344,7 @@
 			apply_report(reports, report);
 		else
 			wv_counter_add(
-			    &reports->entry->metrics.reports_refused, 1);
+			    &reports->deps.metrics->reports_refused, 1);
 		if (report != NULL)
 			vm_report__free_unpacked(report, NULL);
 	}
@@ -338,14 +353,13 @@
 static void
 log_membership(struct reports *reports)
 {
-	struct entry *entry = reports->entry;
-	unsigned live =
-	    wv_peers_count_live_hubs(entry->peers, entry_now(entry));
-	bool is_hub = wv_peers_is_hub(entry->peers);
+	const struct reports_deps *deps = &reports->deps;
+	unsigned live = wv_peers_count_live_hubs(deps->peers, now_of(reports));
+	bool is_hub = wv_peers_is_hub(deps->peers);
 
 	if (live == reports->live_hubs && is_hub == reports->is_hub)
 		return;
-	log_line(entry->log, LOG_CHANGE, "vms_alive",
+	log_line(deps->log, LOG_CHANGE, "vms_alive",
 	    "\"hub\":%s,\"other_hubs\":%u,\"before\":%u",
 	    is_hub ? "true" : "false", live, reports->live_hubs);
 	reports->live_hubs = live;
@@ -356,27 +370,30 @@
 on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct reports *reports = data;
-	struct entry *entry = reports->entry;
+	const struct reports_deps *deps = &reports->deps;
 	struct timeval time;
 
 	(void)fd;
 	(void)what;
 	reports_send(reports);
 	log_membership(reports);
-	entry_update_limits(entry);
-	store_sync_update_role(entry->store);
-	time = socket_timeval(wv_peers_report_interval(entry->peers));
+	reports->ops->round_ended(reports->data);
+	store_sync_update_role(deps->store);
+	time = socket_timeval(wv_peers_report_interval(deps->peers));
 	event_add(reports->timer, &time);
 }
 
 struct reports *
-reports_create(struct entry *entry)
+reports_create(
+    const struct reports_deps *deps, const struct reports_ops *ops, void *data)
 {
 	struct reports *reports = g_new0(struct reports, 1);
 
-	reports->entry = entry;
+	reports->deps = *deps;
+	reports->ops = ops;
+	reports->data = data;
 	reports->fd = -1;
-	reports->timer = event_new(entry->base, -1, 0, on_timer, reports);
+	reports->timer = event_new(deps->base, -1, 0, on_timer, reports);
 	event_active(reports->timer, EV_TIMEOUT, 0);
 	return reports;
 }
@@ -384,13 +401,13 @@
 bool
 reports_open(struct reports *reports)
 {
-	struct entry *entry = reports->entry;
+	const struct reports_deps *deps = &reports->deps;
 
-	reports->fd = socket_datagram(entry->settings->peers);
+	reports->fd = socket_datagram(deps->settings->peers);
 	if (reports->fd < 0)
 		return false;
 	reports->read = event_new(
-	    entry->base, reports->fd, EV_READ | EV_PERSIST, on_read, reports);
+	    deps->base, reports->fd, EV_READ | EV_PERSIST, on_read, reports);
 	event_add(reports->read, NULL);
 	return true;
 }
