Create the gateway without the whole VM

gateway.c took the state of the whole entry VM, kept the registry, the dispatcher, the connections to searchers and their memory limits in it, and asked it whether it is ready, while the VM's functions call the gateway. gateway_create() now gets a struct of what it uses and the operation that tells whether this VM is ready. The gateway owns what it creates and a reference to the routes; limits and changes of the registry are passed to it.

The test of removed entries creates the gateway through parts.c; its checks are the same. Behaviour is unchanged.

--- a/entry/connection_limits.c
+++ b/entry/connection_limits.c
@@ -7,7 +7,6 @@
 #include "entry/entry.h"
 #include "entry/gateway.h"
 #include "entry/shares.h"
-#include "entry/upstream.h"
 
 /**
  * Bytes that the servers buffer: for callers, for other VMs, and for address
@@ -18,8 +17,6 @@
 #define MAX_BUFFERED_CALLERS (32u << 20)
 #define MAX_BUFFERED_CHANGES (48u << 20)
 #define MAX_BUFFERED_MINOR (2u << 20)
-/** Bytes of requests that are being sent to searchers. */
-#define MAX_REQUESTS_BYTES (24u << 20)
 
 /* Returns what a server serves, for log lines. */
 static const char *
@@ -95,8 +92,7 @@
 	    entry, entry->metrics_server, shares.metrics, MAX_BUFFERED_MINOR);
 	limit_server(
 	    entry, entry->change_server, shares.changes, MAX_BUFFERED_CHANGES);
-	upstream_set_max_conns(entry->upstream, shares.searchers);
-	entry->answer_memory.max_requests = MAX_REQUESTS_BYTES;
+	gateway_set_max_searcher_conns(entry->gateway, shares.searchers);
 	log_line(entry->log, LOG_CHANGE, "connections_limited",
 	    "\"descriptors\":%" G_GUINT64_FORMAT
 	    ",\"callers\":%zu,\"searchers\":%zu",
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -38,8 +38,7 @@
 		return;
 	wv_routes_unref(entry->routes);
 	entry->routes = wv_routes_ref(routes);
-	wv_dispatch_set_routes(entry->dispatch, routes);
-	server_set_limits(gateway_server(entry->gateway), &routes->limits);
+	gateway_set_routes(entry->gateway, routes);
 	wv_counter_add(&entry->metrics.routes_changes, 1);
 	log_line(entry->log, LOG_CHANGE, "routes_changed",
 	    "\"version\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
@@ -70,5 +69,5 @@
 				   : fmax(divisor, MIN_DIVISOR_UNLISTED)),
 	};
 
-	wv_dispatch_set_limits(entry->dispatch, &limits);
+	gateway_set_limits(entry->gateway, &limits);
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -1,6 +1,8 @@
 /**
  * @file
- * State of an entry VM, which its modules share.
+ * State of an entry VM, for the modules that show, limit or reload all of it.
+ * The gateway, the synchronization with the store and the reports don't depend
+ * on it; parts.h connects them.
  *
  * Everything runs on one thread with an event loop: a VM has a fraction of one
  * core, so further threads would only add context switches.
@@ -10,18 +12,15 @@
 
 #include <event2/event.h>
 
-#include "entry/client.h"
 #include "entry/platform_adapter.h"
 #include "entry/log.h"
 #include "entry/metrics.h"
 #include "entry/server.h"
 #include "entry/settings.h"
 #include "wisteriavane/clock.h"
-#include "wisteriavane/dispatch.h"
 #include "wisteriavane/peers.h"
 
 struct gateway;
-struct upstream;
 struct store_sync;
 struct reports;
 
@@ -34,13 +33,9 @@
 	struct entry_settings *settings;
 	struct log *log;
 	struct metrics metrics;
-	struct client_memory answer_memory; /**< for searchers' answers */
-	struct wv_registry *registry;
-	struct wv_dispatch *dispatch;
 	struct wv_peers *peers;
 	struct wv_routes *routes; /**< newest version; NULL: none yet */
 	struct gateway *gateway; /**< serves the callers' requests */
-	struct upstream *upstream; /**< connections to searchers */
 	struct store_sync *store; /**< copies state from the store */
 	struct reports *reports; /**< datagrams to and from other VMs */
 	struct server *address_server; /**< lists VMs for callers */
--- a/entry/gateway.c
+++ b/entry/gateway.c
@@ -6,7 +6,6 @@
 #include <math.h>
 #include <string.h>
 
-#include "entry/entry.h"
 #include "entry/gateway.h"
 #include "entry/searcher_answer.h"
 #include "entry/socket.h"
@@ -23,13 +22,22 @@
  */
 #define MAX_ANSWER_BYTES (8u << 20)
 #define MAX_ANSWERS_BYTES (48u << 20)
+/** Bytes of requests that are being sent to searchers. */
+#define MAX_REQUESTS_BYTES (24u << 20)
 /** Size of the buffer for an identifier in a log line, bytes with the NUL. */
 #define LOG_TEXT_SIZE 96
 
 struct gateway {
 	struct wv_dispatch_ops ops; /* must be first: see gateway_of() */
 	struct wv_registry_ops registry_ops;
-	struct entry *entry;
+	struct gateway_deps deps;
+	const struct gateway_ops *callbacks;
+	void *data; /* passed to the callbacks */
+	struct client_memory memory; /* of searchers' answers */
+	struct wv_registry *registry;
+	struct wv_dispatch *dispatch;
+	struct upstream *upstream;
+	struct wv_routes *routes; /* newest version; NULL: none yet */
 	struct server *server;
 	struct event *timer;
 	bool refusing; /* this VM stops: further requests are refused */
@@ -50,6 +58,28 @@
 	return (struct gateway *)ops;
 }
 
+static wv_msec
+now_of(const struct gateway *gateway)
+{
+	return wv_clock_now(gateway->deps.clock);
+}
+
+/* Sets the timer to the next due time of the dispatcher and the registry. */
+static void
+schedule_tick(struct gateway *gateway)
+{
+	wv_msec at = fmin(wv_dispatch_next_tick(gateway->dispatch),
+	    wv_registry_next_tick(gateway->registry));
+	struct timeval time;
+
+	if (at >= WV_MSEC_NEVER) {
+		event_del(gateway->timer);
+		return;
+	}
+	time = socket_timeval(at - now_of(gateway));
+	event_add(gateway->timer, &time);
+}
+
 static void
 call_destroy(struct call *call)
 {
@@ -107,18 +137,18 @@
 }
 
 static void
-log_refusal(struct entry *entry, const struct message *message, unsigned status,
-    const char *reason)
+log_refusal(struct gateway *gateway, const struct message *message,
+    unsigned status, const char *reason)
 {
 	struct wv_string id = {"", 0};
 	char text[LOG_TEXT_SIZE];
 
-	message_find_field(message, entry->adapter->request_id, &id);
-	log_line(entry->log, LOG_FAILURE, "request_refused",
+	message_find_field(message, gateway->deps.adapter->request_id, &id);
+	log_line(gateway->deps.log, LOG_FAILURE, "request_refused",
 	    "\"id\":\"%s\",\"status\":%u,\"reason\":\"%s\","
 	    "\"routes_version\":%" G_GUINT64_FORMAT,
 	    log_escape(id, text, sizeof(text)), status, reason,
-	    entry->routes == NULL ? 0 : entry->routes->version);
+	    gateway->routes == NULL ? 0 : gateway->routes->version);
 }
 
 static void
@@ -135,16 +165,16 @@
 
 /* Refuses a request that is not submitted. */
 static void
-refuse_not_run(struct entry *entry, struct server_conn *conn,
+refuse_not_run(struct gateway *gateway, struct server_conn *conn,
     const struct message *message, const char *reason, wv_msec retry_after)
 {
-	log_refusal(entry, message, 503, reason);
-	wv_counter_add(&entry->metrics.refused_not_run, 1);
+	log_refusal(gateway, message, 503, reason);
+	wv_counter_add(&gateway->deps.metrics->refused_not_run, 1);
 	answer_not_run(conn, retry_after);
 }
 
 static void
-dispatch_call(struct entry *entry, struct server_conn *conn,
+dispatch_call(struct gateway *gateway, struct server_conn *conn,
     const struct message *message, const struct wv_route *route,
     uint64_t deadline)
 {
@@ -155,25 +185,25 @@
 	struct wv_string id = {"", 0};
 	struct wv_task *task;
 
-	message_find_field(message, entry->adapter->request_id, &id);
+	message_find_field(message, gateway->deps.adapter->request_id, &id);
 	call->id = g_strndup(id.data, id.length);
-	call->gateway = entry->gateway;
+	call->gateway = gateway;
 	call->conn = conn;
-	call->request.head = compose_head(entry->adapter, message);
+	call->request.head = compose_head(gateway->deps.adapter, message);
 	call->request.body = message->body;
 	call->request.is_head = message->method == HTTP_HEAD;
 	call->request.id = wv_string_borrow(call->id);
 	server_conn_set_context(conn, call);
-	wv_counter_add(&entry->metrics.requests, 1);
-	task = wv_dispatch_submit(
-	    entry->dispatch, entry_now(entry), entry->routes, route, &caller);
+	wv_counter_add(&gateway->deps.metrics->requests, 1);
+	task = wv_dispatch_submit(gateway->dispatch, now_of(gateway),
+	    gateway->routes, route, &caller);
 	/*
 	 * If no task is returned, the request was answered during the call and
 	 * `call` has been destroyed.
 	 */
 	if (task != NULL)
 		call->task = task;
-	gateway_schedule_tick(entry->gateway);
+	schedule_tick(gateway);
 }
 
 /*
@@ -181,12 +211,12 @@
  * or is not a number.
  */
 static bool
-parse_deadline(const struct entry *entry, const struct message *message,
+parse_deadline(const struct gateway *gateway, const struct message *message,
     uint64_t *deadline)
 {
 	struct wv_string text;
 	unsigned n =
-	    message_find_field(message, entry->adapter->deadline, &text);
+	    message_find_field(message, gateway->deps.adapter->deadline, &text);
 
 	*deadline = DEFAULT_DEADLINE;
 	return n == 0 || (n == 1 && message_parse_number(text, deadline));
@@ -201,85 +231,86 @@
 static void
 on_request(void *data, struct server_conn *conn, const struct message *message)
 {
-	struct entry *entry = ((struct gateway *)data)->entry;
+	struct gateway *gateway = data;
 	const struct wv_route *route;
 	struct wv_string host;
 	uint64_t deadline;
 
 	if (message_find_field(message, "host", &host) != 1 ||
 	    !is_origin_form(message_target(message)) ||
-	    message_find_field(message, entry->adapter->request_id, NULL) > 1 ||
-	    !parse_deadline(entry, message, &deadline)) {
-		log_refusal(entry, message, 400, "malformed");
-		wv_counter_add(&entry->metrics.malformed, 1);
+	    message_find_field(
+		message, gateway->deps.adapter->request_id, NULL) > 1 ||
+	    !parse_deadline(gateway, message, &deadline)) {
+		log_refusal(gateway, message, 400, "malformed");
+		wv_counter_add(&gateway->deps.metrics->malformed, 1);
 		server_answer_text(conn, 400, "malformed request\n");
 		return;
 	}
-	if (!entry_is_ready(entry)) {
+	if (!gateway->callbacks->is_ready(gateway->data)) {
 		refuse_not_run(
-		    entry, conn, message, "not_ready", RETRY_AFTER_NOT_READY);
+		    gateway, conn, message, "not_ready", RETRY_AFTER_NOT_READY);
 		return;
 	}
-	if (entry->gateway->refusing) {
-		refuse_not_run(entry, conn, message, "stopping", 0);
+	if (gateway->refusing) {
+		refuse_not_run(gateway, conn, message, "stopping", 0);
 		return;
 	}
 	route = wv_routes_find(
-	    entry->routes, host, path_of(message_target(message)));
+	    gateway->routes, host, path_of(message_target(message)));
 	if (route == NULL) {
-		log_refusal(entry, message, 404, "no_route");
-		wv_counter_add(&entry->metrics.no_route, 1);
+		log_refusal(gateway, message, 404, "no_route");
+		wv_counter_add(&gateway->deps.metrics->no_route, 1);
 		server_answer_text(conn, 404, "no route\n");
 		return;
 	}
-	dispatch_call(entry, conn, message, route, deadline);
+	dispatch_call(gateway, conn, message, route, deadline);
 }
 
 static void
 on_caller_left(void *data, struct server_conn *conn)
 {
-	struct entry *entry = ((struct gateway *)data)->entry;
+	struct gateway *gateway = data;
 	struct call *call = server_conn_context(conn);
 	char text[LOG_TEXT_SIZE];
 
-	log_line(entry->log, LOG_FAILURE, "caller_left",
+	log_line(gateway->deps.log, LOG_FAILURE, "caller_left",
 	    "\"id\":\"%s\",\"elapsed_ms\":%.1f",
 	    log_escape(call->request.id, text, sizeof(text)),
-	    entry_now(entry) - call->task->arrived);
-	wv_counter_add(&entry->metrics.callers_left, 1);
-	wv_dispatch_cancel_task(entry->dispatch, call->task);
+	    now_of(gateway) - call->task->arrived);
+	wv_counter_add(&gateway->deps.metrics->callers_left, 1);
+	wv_dispatch_cancel_task(gateway->dispatch, call->task);
 	call_destroy(call);
-	gateway_schedule_tick(entry->gateway);
+	schedule_tick(gateway);
 }
 
 static void
 on_rejected(void *data, unsigned status)
 {
-	struct entry *entry = ((struct gateway *)data)->entry;
+	struct gateway *gateway = data;
 
 	if (status == 503) {
-		wv_counter_add(&entry->metrics.refused_not_run, 1);
-		log_line(entry->log, LOG_FAILURE, "request_refused",
+		wv_counter_add(&gateway->deps.metrics->refused_not_run, 1);
+		log_line(gateway->deps.log, LOG_FAILURE, "request_refused",
 		    "\"id\":\"\",\"status\":503,\"reason\":\"memory\"");
 		return;
 	}
-	wv_counter_add(&entry->metrics.malformed, 1);
-	log_line(entry->log, LOG_FAILURE, "request_malformed", "\"status\":%u",
-	    status);
+	wv_counter_add(&gateway->deps.metrics->malformed, 1);
+	log_line(gateway->deps.log, LOG_FAILURE, "request_malformed",
+	    "\"status\":%u", status);
 }
 
 static const struct server_ops server_ops = {
     on_request, on_caller_left, on_rejected};
 
 static void
-log_extra_attempt(struct entry *entry, const struct call *call,
+log_extra_attempt(struct gateway *gateway, const struct call *call,
     const struct wv_attempt *attempt)
 {
 	char text[LOG_TEXT_SIZE];
 	char service[LOG_NAME_SIZE];
 	char searcher[LOG_NAME_SIZE];
 
-	log_line(entry->log, LOG_DETAIL, "attempt_repeated",
+	log_line(gateway->deps.log, LOG_DETAIL, "attempt_repeated",
 	    "\"id\":\"%s\",\"service\":\"%s\",\"searcher\":\"%s\","
 	    "\"elapsed_ms\":%.1f,\"window_first\":%u,\"window_extra\":%u",
 	    log_escape(call->request.id, text, sizeof(text)),
@@ -294,12 +325,12 @@
 static void
 send_attempt(struct wv_dispatch_ops *ops, struct wv_attempt *attempt)
 {
-	struct entry *entry = gateway_of(ops)->entry;
+	struct gateway *gateway = gateway_of(ops);
 	struct call *call = attempt->task->caller;
 
 	if (attempt->extra)
-		log_extra_attempt(entry, call, attempt);
-	upstream_send(entry->upstream, attempt, &call->request);
+		log_extra_attempt(gateway, call, attempt);
+	upstream_send(gateway->upstream, attempt, &call->request);
 }
 
 static void
@@ -339,7 +370,7 @@
 attempt_failed(struct wv_dispatch_ops *ops, const struct wv_attempt *attempt,
     enum wv_attempt_end end, wv_msec elapsed)
 {
-	struct entry *entry = gateway_of(ops)->entry;
+	struct gateway *gateway = gateway_of(ops);
 	struct call *call =
 	    attempt->task != NULL ? attempt->task->caller : NULL;
 	struct wv_string id = {"", 0};
@@ -349,8 +380,8 @@
 
 	if (call != NULL)
 		id = call->request.id;
-	wv_counter_add(failure_counter(&entry->metrics, end), 1);
-	log_line(entry->log, LOG_FAILURE, "attempt_failed",
+	wv_counter_add(failure_counter(gateway->deps.metrics, end), 1);
+	log_line(gateway->deps.log, LOG_FAILURE, "attempt_failed",
 	    "\"id\":\"%s\",\"service\":\"%s\",\"searcher\":\"%s\","
 	    "\"end\":\"%s\",\"elapsed_ms\":%.1f,\"extra\":%s,\"lost\":%s",
 	    log_escape(id, text, sizeof(text)),
@@ -411,8 +442,8 @@
 }
 
 static void
-answer_merged(
-    struct entry *entry, struct server_conn *conn, const struct wv_task *task)
+answer_merged(struct gateway *gateway, struct server_conn *conn,
+    const struct wv_task *task)
 {
 	struct wv_string *parts = g_new0(struct wv_string, task->n_shards);
 	GString *fields = g_string_sized_new(512);
@@ -428,7 +459,7 @@
 		parts[n++].length = part->body->len;
 	}
 	merged = wv_merge_top_k(parts, n, task->route->top_k);
-	append_signatures(fields, entry->adapter, task);
+	append_signatures(fields, gateway->deps.adapter, task);
 	server_answer(conn, 200, fields, merged);
 	wv_string_clear(&merged);
 	g_string_free(fields, TRUE);
@@ -436,16 +467,16 @@
 }
 
 static unsigned
-answer_failure(struct entry *entry, struct server_conn *conn,
+answer_failure(struct gateway *gateway, struct server_conn *conn,
     const struct wv_result *result)
 {
 	switch (result->kind) {
 	case WV_RESULT_REFUSED:
-		wv_counter_add(&entry->metrics.refused_not_run, 1);
+		wv_counter_add(&gateway->deps.metrics->refused_not_run, 1);
 		answer_not_run(conn, result->retry_after);
 		return 503;
 	case WV_RESULT_EXPIRED:
-		wv_counter_add(&entry->metrics.expired, 1);
+		wv_counter_add(&gateway->deps.metrics->expired, 1);
 		server_answer_text(conn, 504, "out of time\n");
 		return 504;
 	case WV_RESULT_RELAY:
@@ -453,26 +484,26 @@
 	case WV_RESULT_FAILED:
 		break;
 	}
-	wv_counter_add(&entry->metrics.failed, 1);
+	wv_counter_add(&gateway->deps.metrics->failed, 1);
 	server_answer_text(conn, 502, "no usable answer\n");
 	return 502;
 }
 
 static void
-count_answer(struct entry *entry, const struct wv_task *task)
+count_answer(struct gateway *gateway, const struct wv_task *task)
 {
 	size_t missing = task->n_shards - task->included;
 
 	if (missing == 0) {
-		wv_counter_add(&entry->metrics.answers_full, 1);
+		wv_counter_add(&gateway->deps.metrics->answers_full, 1);
 		return;
 	}
-	wv_counter_add(&entry->metrics.answers_thin, 1);
-	wv_counter_add(&entry->metrics.parts_left_out, missing);
+	wv_counter_add(&gateway->deps.metrics->answers_thin, 1);
+	wv_counter_add(&gateway->deps.metrics->parts_left_out, missing);
 }
 
 static void
-log_answer(struct entry *entry, const struct call *call,
+log_answer(struct gateway *gateway, const struct call *call,
     const struct wv_task *task, unsigned status, const struct wv_result *result)
 {
 	char text[LOG_TEXT_SIZE];
@@ -480,7 +511,7 @@
 	bool good =
 	    result->kind == WV_RESULT_PARTS || result->kind == WV_RESULT_RELAY;
 
-	log_line(entry->log, good ? LOG_DETAIL : LOG_FAILURE, "answered",
+	log_line(gateway->deps.log, good ? LOG_DETAIL : LOG_FAILURE, "answered",
 	    "\"id\":\"%s\",\"route\":\"%s\",\"routes_version\":"
 	    "%" G_GUINT64_FORMAT
 	    ",\"status\":%u,\"reason\":\"%s\",\"elapsed_ms\":%.1f,"
@@ -489,7 +520,7 @@
 	    log_escape(call->request.id, text, sizeof(text)),
 	    log_escape(task->route->name, route, sizeof(route)),
 	    task->routes->version, status, wv_reason_name(result->reason),
-	    entry_now(entry) - task->arrived, task->reserved, task->included,
+	    now_of(gateway) - task->arrived, task->reserved, task->included,
 	    task->n_shards, task->attempts, task->extra);
 }
 
@@ -517,13 +548,13 @@
     const struct wv_result *dispatched)
 {
 	struct wv_result result = remove_false_promise(dispatched);
-	struct entry *entry = gateway_of(ops)->entry;
+	struct gateway *gateway = gateway_of(ops);
 	struct call *call = task->caller;
 	struct server_conn *conn = call->conn;
 	unsigned status = 200;
 
-	metrics_add_latency(
-	    &entry->metrics.request_ms, entry_now(entry) - task->arrived);
+	metrics_add_latency(&gateway->deps.metrics->request_ms,
+	    now_of(gateway) - task->arrived);
 	/*
 	 * Answering may start the next request on the connection, which must
 	 * not find the context of this one.
@@ -531,14 +562,14 @@
 	server_conn_set_context(conn, NULL);
 	if (result.kind == WV_RESULT_RELAY) {
 		status = relay_answer(conn, result.message);
-		count_answer(entry, task);
+		count_answer(gateway, task);
 	} else if (result.kind == WV_RESULT_PARTS) {
-		answer_merged(entry, conn, task);
-		count_answer(entry, task);
+		answer_merged(gateway, conn, task);
+		count_answer(gateway, task);
 	} else {
-		status = answer_failure(entry, conn, &result);
+		status = answer_failure(gateway, conn, &result);
 	}
-	log_answer(entry, call, task, status, &result);
+	log_answer(gateway, call, task, status, &result);
 	call_destroy(call);
 }
 
@@ -553,36 +584,19 @@
 on_timer(evutil_socket_t fd, short what, void *data)
 {
 	struct gateway *gateway = data;
-	struct entry *entry = gateway->entry;
-	wv_msec now = entry_now(entry);
+	wv_msec now = now_of(gateway);
 
 	(void)fd;
 	(void)what;
-	wv_registry_tick(entry->registry, now);
-	wv_dispatch_tick(entry->dispatch, now);
-	gateway_schedule_tick(gateway);
-}
-
-void
-gateway_schedule_tick(struct gateway *gateway)
-{
-	struct entry *entry = gateway->entry;
-	wv_msec at = fmin(wv_dispatch_next_tick(entry->dispatch),
-	    wv_registry_next_tick(entry->registry));
-	struct timeval time;
-
-	if (at >= WV_MSEC_NEVER) {
-		event_del(gateway->timer);
-		return;
-	}
-	time = socket_timeval(at - entry_now(entry));
-	event_add(gateway->timer, &time);
+	wv_registry_tick(gateway->registry, now);
+	wv_dispatch_tick(gateway->dispatch, now);
+	schedule_tick(gateway);
 }
 
 static void
 on_replied(void *data)
 {
-	gateway_schedule_tick(data);
+	schedule_tick(data);
 }
 
 static const struct upstream_ops upstream_ops = {on_replied};
@@ -591,45 +605,89 @@
 static struct upstream *
 create_upstream(struct gateway *gateway)
 {
-	struct entry *entry = gateway->entry;
 	struct upstream_deps deps = {
-	    .base = entry->base,
-	    .clock = &entry->clock,
-	    .adapter = entry->adapter,
-	    .log = entry->log,
-	    .metrics = &entry->metrics,
-	    .memory = &entry->answer_memory,
-	    .dispatch = entry->dispatch,
+	    .base = gateway->deps.base,
+	    .clock = gateway->deps.clock,
+	    .adapter = gateway->deps.adapter,
+	    .log = gateway->deps.log,
+	    .metrics = gateway->deps.metrics,
+	    .memory = &gateway->memory,
+	    .dispatch = gateway->dispatch,
 	};
 
 	return upstream_create(&deps, &upstream_ops, gateway);
 }
 
-struct gateway *
-gateway_create(struct entry *entry)
+static void
+init_ops(struct gateway *gateway)
 {
-	struct gateway *gateway = g_new0(struct gateway, 1);
-
-	gateway->entry = entry;
 	gateway->ops.send = send_attempt;
 	gateway->ops.cancel = cancel_attempt;
 	gateway->ops.answer = answer_call;
 	gateway->ops.drop = release_message;
 	gateway->ops.failed = attempt_failed;
 	gateway->registry_ops.release = release_searcher;
-	entry->answer_memory.max_answer = MAX_ANSWER_BYTES;
-	entry->answer_memory.max_total = MAX_ANSWERS_BYTES;
-	entry->registry = wv_registry_create(
-	    wv_string_borrow(entry->settings->zone), &gateway->registry_ops);
-	entry->dispatch = wv_dispatch_create(
-	    entry->registry, &gateway->ops, entry->incarnation);
-	entry->upstream = create_upstream(gateway);
-	gateway->timer = event_new(entry->base, -1, 0, on_timer, gateway);
+}
+
+struct gateway *
+gateway_create(
+    const struct gateway_deps *deps, const struct gateway_ops *ops, void *data)
+{
+	struct gateway *gateway = g_new0(struct gateway, 1);
+
+	gateway->deps = *deps;
+	gateway->callbacks = ops;
+	gateway->data = data;
+	init_ops(gateway);
+	gateway->memory.max_answer = MAX_ANSWER_BYTES;
+	gateway->memory.max_total = MAX_ANSWERS_BYTES;
+	gateway->memory.max_requests = MAX_REQUESTS_BYTES;
+	gateway->registry = wv_registry_create(
+	    wv_string_borrow(deps->settings->zone), &gateway->registry_ops);
+	gateway->dispatch = wv_dispatch_create(
+	    gateway->registry, &gateway->ops, deps->incarnation);
+	gateway->upstream = create_upstream(gateway);
+	gateway->timer = event_new(deps->base, -1, 0, on_timer, gateway);
 	gateway->server =
-	    server_create_closed(entry->base, &server_ops, gateway);
+	    server_create_closed(deps->base, &server_ops, gateway);
 	return gateway;
 }
 
+struct wv_registry *
+gateway_registry(struct gateway *gateway)
+{
+	return gateway->registry;
+}
+
+void
+gateway_set_routes(struct gateway *gateway, struct wv_routes *routes)
+{
+	wv_routes_unref(gateway->routes);
+	gateway->routes = wv_routes_ref(routes);
+	wv_dispatch_set_routes(gateway->dispatch, routes);
+	server_set_limits(gateway->server, &routes->limits);
+}
+
+void
+gateway_set_limits(
+    struct gateway *gateway, const struct wv_dispatch_limits *limits)
+{
+	wv_dispatch_set_limits(gateway->dispatch, limits);
+}
+
+void
+gateway_set_max_searcher_conns(struct gateway *gateway, size_t max_conns)
+{
+	upstream_set_max_conns(gateway->upstream, max_conns);
+}
+
+void
+gateway_registry_changed(struct gateway *gateway)
+{
+	wv_dispatch_registry_changed(gateway->dispatch, now_of(gateway));
+	schedule_tick(gateway);
+}
+
 struct server *
 gateway_server(struct gateway *gateway)
 {
@@ -649,8 +707,8 @@
 	struct call *call = server_conn_context(conn);
 
 	if (call != NULL && call->task != NULL)
-		wv_dispatch_abort_task(gateway->entry->dispatch,
-		    entry_now(gateway->entry), call->task);
+		wv_dispatch_abort_task(
+		    gateway->dispatch, now_of(gateway), call->task);
 }
 
 void
@@ -662,13 +720,12 @@
 void
 gateway_destroy(struct gateway *gateway)
 {
-	struct entry *entry = gateway->entry;
-
 	gateway_abort(gateway);
 	server_destroy(gateway->server);
 	event_free(gateway->timer);
-	wv_dispatch_destroy(entry->dispatch);
-	wv_registry_destroy(entry->registry);
-	upstream_destroy(entry->upstream);
+	wv_dispatch_destroy(gateway->dispatch);
+	wv_registry_destroy(gateway->registry);
+	upstream_destroy(gateway->upstream);
+	wv_routes_unref(gateway->routes);
 	g_free(gateway);
 }
--- a/entry/gateway.h
+++ b/entry/gateway.h
@@ -5,21 +5,64 @@
 #ifndef WISTERIAVANE_ENTRY_GATEWAY_H
 #define WISTERIAVANE_ENTRY_GATEWAY_H
 
-#include "entry/entry.h"
+#include <event2/event.h>
+
+#include "entry/log.h"
+#include "entry/metrics.h"
+#include "entry/platform_adapter.h"
+#include "entry/server.h"
+#include "entry/settings.h"
+#include "wisteriavane/clock.h"
+#include "wisteriavane/dispatch.h"
 
 struct gateway;
 
+/** Operations that the gateway calls. */
+struct gateway_ops {
+	/** Returns whether callers' requests can be submitted. */
+	bool (*is_ready)(void *data);
+};
+
+/** What the gateway uses. All pointers are borrowed. */
+struct gateway_deps {
+	struct event_base *base;
+	struct wv_clock *clock;
+	const struct platform_adapter *adapter;
+	struct log *log;
+	struct metrics *metrics;
+	const struct entry_settings *settings;
+	uint64_t incarnation; /**< differs between restarts of this VM */
+};
+
 /**
- * Creates the registry, the dispatcher and the server of callers, which does
- * not listen yet.
+ * Creates the registry, the dispatcher, the connections to searchers and the
+ * server of callers, which does not listen yet.
+ *
+ * @param deps  copied; what it points to must outlive the gateway
+ * @param ops   borrowed
+ * @param data  passed to the operations
  */
-struct gateway *gateway_create(struct entry *entry);
+struct gateway *gateway_create(
+    const struct gateway_deps *deps, const struct gateway_ops *ops, void *data);
 
 /** Aborts requests in progress and releases what gateway_create() created. */
 void gateway_destroy(struct gateway *gateway);
 
-/** Sets the timer to the next due time of the dispatcher and the registry. */
-void gateway_schedule_tick(struct gateway *gateway);
+/** Returns the registry of searchers. Borrowed. */
+struct wv_registry *gateway_registry(struct gateway *gateway);
+
+/** Uses another version of the routes and keeps a reference to it. */
+void gateway_set_routes(struct gateway *gateway, struct wv_routes *routes);
+
+/** Sets this VM's share of the searchers' connections and of the retries. */
+void gateway_set_limits(
+    struct gateway *gateway, const struct wv_dispatch_limits *limits);
+
+/** Sets how many connections to searchers are kept. */
+void gateway_set_max_searcher_conns(struct gateway *gateway, size_t max_conns);
+
+/** Continues requests that waited for a change of the registry. */
+void gateway_registry_changed(struct gateway *gateway);
 
 /** Returns the server that accepts callers. Borrowed. */
 struct server *gateway_server(struct gateway *gateway);
--- a/entry/pages.c
+++ b/entry/pages.c
@@ -64,11 +64,13 @@
 
 	if (wv_string_equal(message_target(message),
 		wv_string_borrow(SEARCHER_STATES_PATH))) {
-		text = searcher_states_list(entry->registry, now);
+		text =
+		    searcher_states_list(gateway_registry(entry->gateway), now);
 	} else {
 		text = metrics_text(
 		    &entry->metrics, log_count_dropped(entry->log));
-		searcher_states_append_metrics(text, entry->registry, now);
+		searcher_states_append_metrics(
+		    text, gateway_registry(entry->gateway), now);
 	}
 	body = (struct wv_string){text->str, text->len};
 	server_answer(conn, 200, NULL, body);
--- a/entry/parts.c
+++ b/entry/parts.c
@@ -8,6 +8,32 @@
 #include "entry/reports.h"
 #include "entry/store_sync.h"
 
+static bool
+is_ready(void *data)
+{
+	return entry_is_ready(data);
+}
+
+static const struct gateway_ops gateway_ops = {
+    .is_ready = is_ready,
+};
+
+struct gateway *
+parts_create_gateway(struct entry *entry)
+{
+	struct gateway_deps deps = {
+	    .base = entry->base,
+	    .clock = &entry->clock,
+	    .adapter = entry->adapter,
+	    .log = entry->log,
+	    .metrics = &entry->metrics,
+	    .settings = entry->settings,
+	    .incarnation = entry->incarnation,
+	};
+
+	return gateway_create(&deps, &gateway_ops, entry);
+}
+
 /* Sends a report, unless the reports are not created yet. */
 static void
 send_report(struct entry *entry)
@@ -45,8 +71,7 @@
 {
 	struct entry *entry = data;
 
-	wv_dispatch_registry_changed(entry->dispatch, entry_now(entry));
-	gateway_schedule_tick(entry->gateway);
+	gateway_registry_changed(entry->gateway);
 }
 
 static void
@@ -73,7 +98,7 @@
 	    .log = entry->log,
 	    .metrics = &entry->metrics,
 	    .settings = entry->settings,
-	    .registry = entry->registry,
+	    .registry = gateway_registry(entry->gateway),
 	    .peers = entry->peers,
 	    .started_at = entry->started_at,
 	};
@@ -81,12 +106,6 @@
 	return store_sync_create(&deps, &store_sync_ops, entry);
 }
 
-static bool
-is_serving(void *data)
-{
-	return entry_is_ready(data);
-}
-
 static void
 on_round_ended(void *data)
 {
@@ -94,7 +113,7 @@
 }
 
 static const struct reports_ops reports_ops = {
-    .is_serving = is_serving,
+    .is_serving = is_ready,
     .round_ended = on_round_ended,
 };
 
@@ -107,7 +126,7 @@
 	    .log = entry->log,
 	    .metrics = &entry->metrics,
 	    .settings = entry->settings,
-	    .registry = entry->registry,
+	    .registry = gateway_registry(entry->gateway),
 	    .peers = entry->peers,
 	    .store = entry->store,
 	    .incarnation = entry->incarnation,
@@ -123,7 +142,7 @@
 
 	entry->peers = wv_peers_create(wv_string_borrow(settings->vm),
 	    wv_string_borrow(settings->zone), settings->capacity);
-	entry->gateway = gateway_create(entry);
+	entry->gateway = parts_create_gateway(entry);
 	pages_create(entry);
 	entry_limit_connections(entry);
 	entry->store = parts_create_store_sync(entry);
--- a/entry/parts.h
+++ b/entry/parts.h
@@ -20,9 +20,12 @@
  */
 void parts_destroy(struct entry *entry);
 
+/** Creates the gateway alone, for tests that have no reports. */
+struct gateway *parts_create_gateway(struct entry *entry);
+
 /**
- * Creates the synchronization with the store alone, for parts_create() and for
- * tests of it. The table of VMs and the gateway exist.
+ * Creates the synchronization with the store alone, for tests that have no
+ * reports. The table of VMs and the gateway exist.
  */
 struct store_sync *parts_create_store_sync(struct entry *entry);
 
--- a/test/test_entry_removal.c
+++ b/test/test_entry_removal.c
@@ -86,7 +86,7 @@
 	    fixture->base, &entry->clock, vm->null, wv_string_borrow("vm0"));
 	entry->peers = wv_peers_create(wv_string_borrow("vm0"),
 	    wv_string_borrow("z1"), entry->settings->capacity);
-	entry->gateway = gateway_create(entry);
+	entry->gateway = parts_create_gateway(entry);
 	entry->store = parts_create_store_sync(entry);
 	return vm;
 }
