--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,17 +5,26 @@
 cd "$(dirname "$0")/.."
 
 out=build-review-2
-flags=$(pkg-config --cflags --libs glib-2.0 json-glib-1.0 libevent_core \
-	libxxhash libprotobuf-c liburcu-memb)
-common="review/stand-2/world.c platform/standin/store.c
-platform/standin/searchers.c platform/standin/routes.c
+libs="glib-2.0 json-glib-1.0 libevent_core libxxhash libprotobuf-c
+liburcu-memb"
+common="review/stand-2/world.c platform/standin/searchers.c platform/standin/routes.c
 platform/standin/vms.c standin/common/ports.c"
 
 mkdir -p "$out"
-for name in born_back; do
+for source in review/stand-2/*.c; do
+	name=$(basename "$source" .c)
+	[ "$name" != world ] || continue
+	serialize=
+	[ "$name" != cut_entry ] ||
+		serialize=-Dwv_json_serialize_object=review_serialize_object
 	# shellcheck disable=SC2086
 	cc -std=gnu11 -O1 -g -Wall -Wextra -Wno-unused-parameter -I. \
-		-o "$out/$name" "review/stand-2/$name.c" $common \
+		$(pkg-config --cflags $libs) $serialize -c \
+		-o "$out/$name-store.o" platform/standin/store.c
+	# shellcheck disable=SC2086
+	cc -std=gnu11 -O1 -g -Wall -Wextra -Wno-unused-parameter -I. \
+		$(pkg-config --cflags $libs) -o "$out/$name" \
+		"$source" "$out/$name-store.o" $common \
 		target/libwisteriavane_entry_parts.a target/libwisteriavane.a \
-		$flags -lhttp_parser -lm
+		$(pkg-config --libs $libs) -lhttp_parser -lm
 done
--- a/review/stand-2/born_back.c
+++ b/review/stand-2/born_back.c
@@ -1,11 +1,8 @@
 /**
  * @file
- * Case 7: a searcher starts again under its id after the time of day of its
+ * Case 9: a searcher starts again under its id after the time of day of its
  * machine has jumped back, and later drains.
  */
-#include <stdlib.h>
-#include <string.h>
-
 #include "review/stand-2/world.h"
 
 /** Bound of the site: `drainMs`. */
@@ -20,6 +17,9 @@
 /** Time for which the draining searcher serves on after the bound, ms. */
 #define EXTRA_TIME 3000.0
 #define CALL_INTERVAL 10.0
+/** Time without orders before the shutdown, and after its bound, ms. */
+#define QUIET_BEFORE 200.0
+#define QUIET_AFTER 200.0
 #define N_VMS 3
 #define MS_PER_S 1000
 
@@ -68,9 +68,13 @@
 	world_restart_searcher(
 	    searcher, time_of_day() - (trouble ? CLOCK_JUMP : 0));
 	world_run_for(world, STABLE_WINDOW + DRAIN_BOUND);
+	world_pause_callers(world);
+	world_run_for(world, QUIET_BEFORE);
 	searcher->counted_from = world_now(world) + DRAIN_BOUND;
 	world_write_entry(searcher, true);
-	world_run_for(world, DRAIN_BOUND + EXTRA_TIME);
+	world_run_for(world, DRAIN_BOUND + QUIET_AFTER);
+	world_start_callers(world, CALL_INTERVAL);
+	world_run_for(world, EXTRA_TIME);
 	world_record_answers(world);
 	world_crash_searcher(searcher);
 	if (world_count_served(world) == 0)
@@ -81,14 +85,5 @@
 int
 main(int argc, char **argv)
 {
-	const char *trouble = getenv("TROUBLE");
-	struct world *world;
-	int result;
-
-	if (argc != 2 || (world = world_create(argv[1])) == NULL)
-		return CASE_NOT_RUN;
-	result = run_case(world, trouble == NULL || strcmp(trouble, "0") != 0);
-	world_record(world, "result %d (0 held, 1 broken, 2 not run)", result);
-	world_destroy(world);
-	return result;
+	return world_main(argc, argv, run_case);
 }
--- a/review/stand-2/world.h
+++ b/review/stand-2/world.h
@@ -74,6 +74,15 @@
 /** Waits until all VMs are ready; returns false after a limit. */
 bool world_wait_ready(struct world *world);
 
+/** Ends a VM with SIGKILL for good; callers stop using it. */
+void world_kill_vm(struct world *world, const char *name);
+
+/** Ends all VMs with SIGKILL at once. */
+void world_kill_all_vms(struct world *world);
+
+/** Starts all VMs that were ended by world_kill_all_vms() again. */
+bool world_restart_all_vms(struct world *world);
+
 /**
  * Begins to send orders, which may run once, to the VMs in turn.
  *
@@ -81,10 +90,24 @@
  */
 void world_start_callers(struct world *world, wv_msec interval);
 
+/** Callers send no further orders until world_start_callers(). */
+void world_pause_callers(struct world *world);
+
 /** Records how the requests of the callers ended. */
 void world_record_answers(struct world *world);
 
+/** Returns how many requests were sent. */
+unsigned world_count_sent(const struct world *world);
+
 /** Returns how many requests were answered with success. */
 unsigned world_count_served(const struct world *world);
 
+/**
+ * Main function of a case: plays it, with the disruption unless TROUBLE is 0.
+ *
+ * @return the exit code of the case
+ */
+int world_main(
+    int argc, char **argv, int (*run_case)(struct world *world, bool trouble));
+
 #endif
